Carry a request from caller to backend server

Change: three modules in a workspace, the table with findings by place, the store, the platform's client, filters for route and key, a forwarder, the operators' server, a platform and a backend stand-in, and make demo. Conclusion: everything else grows from this path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Targets: build, demo, test, check, generate, measure.
+.PHONY: build demo test check fmt lint generate measure clean
+
+MODULES := internal lentilbend standin
+GOFILES = $(shell git ls-files -co --exclude-standard '*.go')
+
+build: ## Build both programs into bin/.
+	go build -o bin/lentilbend ./lentilbend
+	go build -o bin/standin ./standin
+
+bin/staticcheck: tools/go.mod tools/go.sum
+	GOWORK=off go -C tools build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+
+fmt: ## Format all Go files.
+	gofmt -w $(GOFILES)
+
+lint: bin/staticcheck ## Check formatting, vet and staticcheck.
+	@test -z "$$(gofmt -l $(GOFILES))" || { gofmt -l $(GOFILES); echo 'run make fmt'; exit 1; }
+	@for m in $(MODULES); do (cd $$m && go vet ./... && ../bin/staticcheck ./...) || exit 1; done
+
+test: build ## Run every test.
+	@for m in $(MODULES); do (cd $$m && go test -count=1 ./...) || exit 1; done
+
+check: lint test ## What CI runs.
+
+generate: ## Regenerate the wire types; needs protoc.
+	GOWORK=off go -C tools build -o ../bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	GOWORK=off go -C tools build -o ../bin/protoc-gen-go-grpc google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/bin:$$PATH" protoc -I schema --go_out=. --go_opt=module=lentilbend.example \
+		--go-grpc_out=. --go-grpc_opt=module=lentilbend.example schema/*.proto
+
+demo: build ## Run three entry VMs on loopback until interrupted.
+	bash scripts/demo.sh
+
+measure: build ## Run every measurement into docs/MEASUREMENTS.md.
+	bash scripts/measure.sh
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated messages between entry VMs.
+package peerpb
--- /dev/null
+++ b/lentilbend/internal/exchange/exchange.go
@@ -0,0 +1,60 @@
+// Package exchange holds the state of one request on its way through the
+// filters, and the refusals that end it.
+package exchange
+
+import (
+	"net/http"
+	"time"
+
+	"lentilbend.example/internal/table"
+)
+
+// Exchange is one request and its answer. A filter sets the fields that it is
+// named for; later filters read them.
+type Exchange struct {
+	Writer  http.ResponseWriter
+	Request *http.Request
+	// Received is when the request's header was read.
+	Received time.Time
+	// Deadline is when the request must have ended.
+	Deadline time.Time
+	// Table is the revision that the whole exchange goes by.
+	Table *table.Table
+	// Route and Service are set by the route filter.
+	Route   *table.Route
+	Service *table.Service
+	// Workspace is set by the key filter; nil on a route open to all.
+	Workspace *table.Workspace
+	// Row is what Workspace may take of Service; nil when it has none.
+	Row *table.Row
+}
+
+// Handler serves an exchange.
+type Handler interface {
+	Serve(x *Exchange)
+}
+
+// HandlerFunc is a function that serves an exchange.
+type HandlerFunc func(x *Exchange)
+
+// Serve calls f.
+func (f HandlerFunc) Serve(x *Exchange) {
+	f(x)
+}
+
+// Filter is one step in the row that a request passes.
+type Filter interface {
+	// Filter serves x by calling next, or ends it with a refusal.
+	Filter(x *Exchange, next Handler)
+}
+
+// Chain returns a handler that passes an exchange through the filters in order
+// and then to last.
+func Chain(last Handler, filters ...Filter) Handler {
+	h := last
+	for i := len(filters) - 1; i >= 0; i-- {
+		f, next := filters[i], h
+		h = HandlerFunc(func(x *Exchange) { f.Filter(x, next) })
+	}
+	return h
+}
--- /dev/null
+++ b/lentilbend/internal/exchange/refusal.go
@@ -0,0 +1,68 @@
+package exchange
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// RunHeader tells in a refusal whether the request may have run.
+const RunHeader = "Lentilbend-Run"
+
+// Run says whether a refused request may have run at a backend server.
+type Run string
+
+// Values of RunHeader.
+const (
+	// NotRun means that no backend server's application saw the request.
+	NotRun Run = "not-run"
+	// RunUnknown means that one may have seen it.
+	RunUnknown Run = "unknown"
+)
+
+// Refusal ends an exchange without an answer of a backend server.
+type Refusal struct {
+	Status int
+	Run    Run
+	// Reason is a short text for people; it holds nothing of the request.
+	Reason string
+	// RetryAfter is how long a caller should wait; 0 when waiting is no help.
+	RetryAfter time.Duration
+}
+
+// problem is the body of a refusal, after RFC 9457.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Run    Run    `json:"run"`
+}
+
+// Refuse writes the refusal as application/problem+json.
+func (x *Exchange) Refuse(r Refusal) {
+	h := x.Writer.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Cache-Control", "no-store")
+	h.Set(RunHeader, string(r.Run))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	if r.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	b, err := json.Marshal(problem{
+		Type:   "about:blank",
+		Title:  http.StatusText(r.Status),
+		Status: r.Status,
+		Detail: r.Reason,
+		Run:    r.Run,
+	})
+	if err != nil {
+		b = []byte("{}")
+	}
+	x.Writer.WriteHeader(r.Status)
+	_, _ = x.Writer.Write(b)
+}
--- /dev/null
+++ b/lentilbend/internal/operator/server.go
@@ -0,0 +1,101 @@
+// Package operator serves the operators: health, readiness, metrics, the state
+// dump and the log level.
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lentilbend.example/lentilbend/internal/settings"
+)
+
+// Dumper is a part that can show its state. The result is encoded as JSON and
+// must hold no key.
+type Dumper interface {
+	Dump() any
+}
+
+// Server listens for operators. Set the exported fields before Run.
+type Server struct {
+	Settings settings.Operator
+	Registry *prometheus.Registry
+	// Ready returns nil when callers may be sent here, or the reason why not.
+	Ready func() error
+	// SetLevel changes the log level; it fails for an unknown one.
+	SetLevel func(level string) error
+	// Parts are dumped under their names.
+	Parts map[string]Dumper
+
+	server http.Server
+}
+
+// Run serves until Close.
+func (s *Server) Run() error {
+	s.server.Handler = s.routes()
+	l, err := net.Listen("tcp", s.Settings.Address.String())
+	if err != nil {
+		return fmt.Errorf("operator: %w", err)
+	}
+	if s.Settings.Certificate != "" {
+		err = s.server.ServeTLS(l, s.Settings.Certificate, s.Settings.Key)
+	} else {
+		err = s.server.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("operator: %w", err)
+}
+
+// Close ends all connections.
+func (s *Server) Close() error {
+	return s.server.Close()
+}
+
+func (s *Server) routes() http.Handler {
+	m := chi.NewRouter()
+	m.Get("/healthz", s.health)
+	m.Get("/readyz", s.ready)
+	m.Get("/dump", s.dump)
+	m.Put("/log-level/{level}", s.level)
+	m.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
+	return m
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("Alive.\n"))
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("Ready.\n"))
+}
+
+func (s *Server) dump(w http.ResponseWriter, _ *http.Request) {
+	d := map[string]any{}
+	for n, p := range s.Parts {
+		d[n] = p.Dump()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(d)
+}
+
+func (s *Server) level(w http.ResponseWriter, r *http.Request) {
+	if err := s.SetLevel(chi.URLParam(r, "level")); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/lentilbend/internal/platform/client.go
@@ -0,0 +1,96 @@
+// Package platform reads the platform's service: configuration values and the
+// VM list.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"lentilbend.example/internal/platformpb"
+)
+
+// maxAnswer bounds what is read of one answer, in bytes.
+const maxAnswer = 64 << 20
+
+// Client reads the platform's service. Set the exported fields before use.
+type Client struct {
+	// Addresses are tried in turn; a failed one is left for the next.
+	Addresses []netip.AddrPort
+	// Timeout is how long a read may take beyond the time it asks to wait.
+	Timeout time.Duration
+
+	http  http.Client
+	turn  atomic.Uint32
+	reads atomic.Uint64
+}
+
+// Reads returns how many reads were sent.
+func (c *Client) Reads() uint64 {
+	return c.reads.Load()
+}
+
+// Values reads the values changed after a revision. The platform holds the
+// answer back for up to wait while there are none.
+func (c *Client) Values(ctx context.Context, after uint64, wait time.Duration) (*platformpb.ValuesAnswer, error) {
+	q := url.Values{}
+	q.Set("after", strconv.FormatUint(after, 10))
+	q.Set("wait", wait.String())
+	a := &platformpb.ValuesAnswer{}
+	if err := c.read(ctx, "/v1/values?"+q.Encode(), wait, a); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// Vms reads the VM list.
+func (c *Client) Vms(ctx context.Context) (*platformpb.VmsAnswer, error) {
+	a := &platformpb.VmsAnswer{}
+	if err := c.read(ctx, "/v1/vms", 0, a); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func (c *Client) read(ctx context.Context, path string, wait time.Duration, out proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.Timeout)
+	defer cancel()
+	n := int(c.turn.Load()) % len(c.Addresses)
+	err := c.get(ctx, "http://"+c.Addresses[n].String()+path, out)
+	if err != nil {
+		c.turn.Add(1)
+		return fmt.Errorf("platform: read %s: %w", path, err)
+	}
+	return nil
+}
+
+func (c *Client) get(ctx context.Context, u string, out proto.Message) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return err
+	}
+	c.reads.Add(1)
+	a, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", a.StatusCode)
+	}
+	o := protojson.UnmarshalOptions{DiscardUnknown: true}
+	return o.Unmarshal(b, out)
+}
--- /dev/null
+++ b/lentilbend/internal/serve/serve.go
@@ -0,0 +1,151 @@
+// Package serve wires the parts of an entry VM's process and runs them.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lentilbend.example/internal/event"
+	"lentilbend.example/internal/timer"
+
+	"lentilbend.example/lentilbend/internal/backend"
+	"lentilbend.example/lentilbend/internal/caller"
+	"lentilbend.example/lentilbend/internal/exchange"
+	"lentilbend.example/lentilbend/internal/filter/key"
+	"lentilbend.example/lentilbend/internal/filter/route"
+	"lentilbend.example/lentilbend/internal/logging"
+	"lentilbend.example/lentilbend/internal/operator"
+	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/settings"
+	"lentilbend.example/lentilbend/internal/store"
+)
+
+// Times of the timer service.
+const (
+	tickResolution = 50 * time.Millisecond
+	pauseAfter     = 500 * time.Millisecond
+)
+
+// Process is one entry VM's process. Set the exported fields before Run.
+type Process struct {
+	Settings *settings.Settings
+
+	root     *logging.Root
+	logger   log.Logger
+	bus      *event.Bus
+	timer    *timer.Service
+	store    *store.Store
+	watcher  *platform.Watcher
+	caller   *caller.Server
+	operator *operator.Server
+	stopping atomic.Bool
+}
+
+// Run serves until SIGTERM or SIGINT and a planned stop, or until a part
+// fails. A second signal ends at once.
+func (p *Process) Run() error {
+	if err := p.build(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 8)
+	run := func(f func() error) {
+		go func() {
+			if err := f(); err != nil {
+				failed <- err
+			}
+		}()
+	}
+	run(func() error { return p.timer.Run(ctx) })
+	run(func() error { return p.watcher.Run(ctx) })
+	run(p.operator.Run)
+	run(p.caller.Run)
+	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case err := <-failed:
+		return err
+	case <-signals:
+		return p.stop(signals)
+	}
+}
+
+func (p *Process) build() error {
+	s := p.Settings
+	var err error
+	if p.root, err = logging.New(os.Stderr, s.Log.Format, s.Log.Level); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	p.logger = p.root.Part("serve")
+	p.bus = event.NewBus()
+	p.timer = &timer.Service{Bus: p.bus, Resolution: tickResolution, PauseAfter: pauseAfter}
+	p.store = &store.Store{Bus: p.bus, Logger: p.root.Part("store")}
+	p.watcher = &platform.Watcher{
+		Client: &platform.Client{Addresses: s.Platform.Addresses, Timeout: s.Platform.Timeout},
+		Store:  p.store,
+		Logger: p.root.Part("platform"),
+	}
+	p.caller = &caller.Server{
+		Settings: s.Caller,
+		Sizes:    s.Limits,
+		Handler:  &caller.Handler{Store: p.store, Next: p.filters()},
+	}
+	p.operator = &operator.Server{
+		Settings: s.Operator,
+		Registry: prometheus.NewRegistry(),
+		Ready:    p.ready,
+		SetLevel: p.root.SetLevel,
+		Parts:    map[string]operator.Dumper{},
+	}
+	return nil
+}
+
+// filters returns the row that every request passes.
+func (p *Process) filters() exchange.Handler {
+	f := &backend.Forwarder{Transport: &http.Transport{DisableCompression: true}}
+	return exchange.Chain(f, route.Filter{}, key.Filter{})
+}
+
+func (p *Process) ready() error {
+	if p.stopping.Load() {
+		return errors.New("a planned stop has begun")
+	}
+	if p.store.Table() == nil {
+		return errors.New("no table is known yet")
+	}
+	return nil
+}
+
+// stop runs a planned stop: not ready, a wait for the platform's balancer, and
+// the end of running requests.
+func (p *Process) stop(signals <-chan os.Signal) error {
+	p.stopping.Store(true)
+	_ = p.bus.Publish(event.Stopping{})
+	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", p.Settings.Stop.Wait)
+	done := make(chan error, 1)
+	go func() {
+		time.Sleep(p.Settings.Stop.Wait)
+		ctx, cancel := context.WithTimeout(context.Background(), p.Settings.Stop.Timeout)
+		defer cancel()
+		done <- p.caller.Shutdown(ctx)
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+		return errors.New("serve: second signal, ended at once")
+	}
+}
--- /dev/null
+++ b/lentilbend/internal/settings/settings.go
@@ -0,0 +1,128 @@
+// Package settings reads the TOML settings file of a process.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"lentilbend.example/internal/document"
+	"lentilbend.example/internal/finding"
+)
+
+// Settings are the settings of one process. Every field that is not marked
+// optional must be given.
+type Settings struct {
+	// DataCentre is the data centre of this VM.
+	DataCentre string
+	Caller     Caller
+	Operator   Operator
+	Peer       Peer
+	Platform   Platform
+	Log        Log   `document:"optional"`
+	Stop       Stop  `document:"optional"`
+	Limits     Sizes `document:"optional"`
+}
+
+// Caller holds the address that callers reach.
+type Caller struct {
+	Address     netip.AddrPort
+	Certificate string `document:"optional"`
+	Key         string `document:"optional"`
+	// HeaderTimeout is how long a caller may take to send its header.
+	HeaderTimeout time.Duration `document:"optional"`
+	// IdleTimeout is how long an idle connection is kept.
+	IdleTimeout time.Duration `document:"optional"`
+}
+
+// Operator holds the address that operators reach.
+type Operator struct {
+	Address     netip.AddrPort
+	Certificate string `document:"optional"`
+	Key         string `document:"optional"`
+}
+
+// Peer holds the address that other entry VMs reach.
+type Peer struct {
+	Address netip.AddrPort
+	// Certificate, Key and Authority turn on mutual TLS; all are PEM files.
+	Certificate string `document:"optional"`
+	Key         string `document:"optional"`
+	Authority   string `document:"optional"`
+	// ListAge is the greatest age of the VM list that the platform may
+	// answer with.
+	ListAge time.Duration `document:"optional"`
+}
+
+// Platform holds the addresses of the platform's service.
+type Platform struct {
+	Addresses []netip.AddrPort
+	// Timeout is how long a read may take beyond the time it asks to wait.
+	Timeout time.Duration `document:"optional"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error".
+	Level string `document:"optional"`
+	// Format is "logfmt" or "json".
+	Format string `document:"optional"`
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	// Wait is how long the process still accepts work after it turned
+	// not ready, so that the platform's balancer can leave it.
+	Wait time.Duration `document:"optional"`
+	// Timeout is how long running requests may take to end.
+	Timeout time.Duration `document:"optional"`
+}
+
+// Sizes bounds what a request may bring.
+type Sizes struct {
+	// Header is the largest header, in bytes.
+	Header int `document:"optional"`
+	// Body is the largest body, in bytes.
+	Body int64 `document:"optional"`
+}
+
+// Read reads and checks the settings in a file. The error is of type
+// *finding.Error when the content is wrong.
+func Read(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, fs := Parse(path, b)
+	if len(fs) > 0 {
+		return nil, &finding.Error{Findings: fs}
+	}
+	return s, nil
+}
+
+// Parse decodes and checks settings. Name stands in the findings.
+func Parse(name string, text []byte) (*Settings, []finding.Finding) {
+	s := defaults()
+	doc, fs := document.Decode(name, text, s)
+	if len(fs) > 0 {
+		return nil, fs
+	}
+	if fs := s.check(doc); len(fs) > 0 {
+		return nil, fs
+	}
+	return s, nil
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Caller: Caller{HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute},
+		Peer:   Peer{ListAge: 30 * time.Second},
+		Platform: Platform{
+			Timeout: 2 * time.Second,
+		},
+		Log:    Log{Level: "info", Format: "logfmt"},
+		Stop:   Stop{Wait: 5 * time.Second, Timeout: time.Minute},
+		Limits: Sizes{Header: 64 << 10, Body: 64 << 20},
+	}
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Runs a platform stand-in, backend servers and three entry VMs on loopback
+# until interrupted, and ends everything it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+pids=()
+finish() {
+  trap - EXIT INT TERM
+  for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
+  wait
+}
+trap finish EXIT
+trap 'exit 0' INT TERM
+
+start() { "$@" & pids+=($!); }
+
+start bin/standin platform --address 127.0.0.1:7000 --table examples/demo/table
+for p in 7201 7202 7203 7301 7302 7303; do
+  start bin/standin backend --address "127.0.0.1:$p"
+done
+for i in 1 2 3; do
+  start bin/lentilbend serve --settings "examples/demo/entry-$i.toml"
+done
+
+call="curl -s -H 'Authorization: Bearer demo-counter-key' http://127.0.0.1:8081/catalogue/rose"
+for _ in $(seq 200); do
+  if eval "$call -f -o /dev/null"; then
+    echo Ready
+    echo "$call"
+    wait
+    exit 0
+  fi
+  sleep 0.1
+done
+echo "no answer within 20 s" >&2
+exit 1
