Stand-ins for backend servers and the platform

Cause: measurements and scenarios need backend servers with slots, load reports and faults, and a platform that can be stale, down or reverted.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,10 +14,11 @@
 
 start() { "$@" & pids+=($!); }
 
-start bin/standin platform --address 127.0.0.1:7000 --table examples/demo/table
-for p in 7201 7202 7203 7301 7302 7303; do
-  start bin/standin backend --address "127.0.0.1:$p"
-done
+start bin/standin platform --address 127.0.0.1:7000 --control 127.0.0.1:7009 \
+  --table examples/demo/table --vms examples/demo/vms.json
+servers=127.0.0.1:7201,127.0.0.1:7202,127.0.0.1:7203,127.0.0.1:7301,127.0.0.1:7302,127.0.0.1:7303
+start bin/standin backend --address "$servers" --control 127.0.0.1:7209 \
+  --slots 6 --connections 200 --service-time 5ms --spread 0.5
 for i in 1 2 3; do
   start bin/lentilbend serve --settings "examples/demo/entry-$i.toml"
 done
--- /dev/null
+++ b/standin/internal/backend/group.go
@@ -0,0 +1,162 @@
+package backend
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"lentilbend.example/internal/document"
+	"lentilbend.example/internal/finding"
+)
+
+// maxControlBody bounds what a control request may bring, in bytes.
+const maxControlBody = 4096
+
+// Group runs the servers of one process. Set the exported fields before Run.
+type Group struct {
+	Servers  []*Server
+	Recorder *Recorder
+}
+
+// Options describe the servers of one process in a TOML file.
+type Options struct {
+	// Keys must not be seen in any request.
+	Keys []string `document:"optional"`
+	// Server are kinds of servers that listen on several addresses each.
+	Server []ServerOptions
+}
+
+// ServerOptions are those fields of Server that a file sets, the same for all
+// Addresses.
+type ServerOptions struct {
+	Addresses   []netip.AddrPort
+	Slots       int           `document:"optional"`
+	Queue       int           `document:"optional"`
+	ServiceTime time.Duration `document:"optional"`
+	Spread      float64       `document:"optional"`
+	Connections int           `document:"optional"`
+	OpenTime    time.Duration `document:"optional"`
+	ProbeTime   time.Duration `document:"optional"`
+	LoadPath    string        `document:"optional"`
+}
+
+// ReadOptions reads a TOML file. The error is of type *finding.Error when the
+// content is wrong.
+func ReadOptions(path string) (*Options, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("backend: %w", err)
+	}
+	o := &Options{}
+	if _, fs := document.Decode(path, b, o); len(fs) > 0 {
+		return nil, &finding.Error{Findings: fs}
+	}
+	return o, nil
+}
+
+// New returns the servers of the options.
+func New(o *Options) *Group {
+	g := &Group{Recorder: &Recorder{}}
+	for _, s := range o.Server {
+		for _, a := range s.Addresses {
+			g.Servers = append(g.Servers, s.server(a, o.Keys, g.Recorder))
+		}
+	}
+	return g
+}
+
+func (o ServerOptions) server(a netip.AddrPort, keys []string, r *Recorder) *Server {
+	return &Server{
+		Address:     a,
+		Slots:       o.Slots,
+		Queue:       o.Queue,
+		ServiceTime: o.ServiceTime,
+		Spread:      o.Spread,
+		Connections: o.Connections,
+		OpenTime:    o.OpenTime,
+		ProbeTime:   o.ProbeTime,
+		LoadPath:    o.LoadPath,
+		Recorder:    r,
+		Keys:        keys,
+	}
+}
+
+// Run serves until a server fails or all are closed.
+func (g *Group) Run() error {
+	done := make(chan error, len(g.Servers))
+	for _, s := range g.Servers {
+		go func() { done <- s.Run() }()
+	}
+	for range g.Servers {
+		if err := <-done; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all servers.
+func (g *Group) Close() {
+	for _, s := range g.Servers {
+		s.Close()
+	}
+}
+
+// Control returns the handler of the control address: GET /servers,
+// GET /executions?from=N and PUT /servers/ADDRESS/mode, where ADDRESS may be
+// "all".
+func (g *Group) Control() http.Handler {
+	m := chi.NewRouter()
+	m.Get("/servers", g.getServers)
+	m.Get("/executions", g.getExecutions)
+	m.Put("/servers/{address}/mode", func(w http.ResponseWriter, r *http.Request) {
+		if err := g.putMode(w, r); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})
+	return m
+}
+
+func (g *Group) getServers(w http.ResponseWriter, _ *http.Request) {
+	a := map[string]Counts{}
+	for _, s := range g.Servers {
+		a[s.Address.String()] = s.Counts()
+	}
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+func (g *Group) getExecutions(w http.ResponseWriter, r *http.Request) {
+	n, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	_ = json.NewEncoder(w).Encode(g.Recorder.Executions(max(n, 0)))
+}
+
+func (g *Group) putMode(w http.ResponseWriter, r *http.Request) error {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBody))
+	if err != nil {
+		return fmt.Errorf("backend: %w", err)
+	}
+	m, err := ParseMode(string(b))
+	if err != nil {
+		return err
+	}
+	a := chi.URLParam(r, "address")
+	found := false
+	for _, s := range g.Servers {
+		if a == "all" || a == s.Address.String() {
+			s.SetMode(m)
+			found = true
+		}
+	}
+	if !found {
+		return errors.New("backend: no server has this address")
+	}
+	return nil
+}
--- a/standin/internal/platform/server.go
+++ b/standin/internal/platform/server.go
@@ -1,15 +1,17 @@
-// Package platform is a stand-in for the platform's read-only service.
+// Package platform is a stand-in for the platform's read-only service:
+// configuration values with revisions, a lagging VM list, and the faults of
+// both.
 package platform
 
 import (
+	"errors"
 	"fmt"
-	"io/fs"
+	"net"
 	"net/http"
-	"os"
-	"path/filepath"
+	"net/netip"
 	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -19,66 +21,89 @@
 	"lentilbend.example/internal/platformpb"
 )
 
-// Server holds values and a VM list. Its zero value is ready for use.
+// Server serves values and a VM list, on one address for each reader that is
+// to be told apart. Set the exported fields before Run.
 type Server struct {
-	mu       sync.Mutex
-	revision uint64
-	values   map[string]*platformpb.Value
-	changed  chan struct{}
+	// Addresses are listened on; a fault may be set for the readers of one.
+	Addresses []netip.AddrPort
+	// Lag is how old an answered VM list is.
+	Lag time.Duration
+
+	mu      sync.Mutex
+	edits   []edit
+	changed chan struct{}
+	lists   []list
+	all     fault
+	faults  map[netip.AddrPort]fault
+	servers []*http.Server
+
+	reads  atomic.Uint64
+	denied atomic.Uint64
+	rate   rateCounter
 }
 
-// Load sets a value for each file NAME.toml below dir.
-func (s *Server) Load(dir string) error {
-	return filepath.WalkDir(dir, func(p string, e fs.DirEntry, err error) error {
-		if err != nil {
-			return fmt.Errorf("platform: %w", err)
-		}
-		if e.IsDir() || filepath.Ext(p) != ".toml" {
-			return nil
-		}
-		b, err := os.ReadFile(p)
+// Run serves until Close or until an address fails.
+func (s *Server) Run() error {
+	failed := make(chan error, len(s.Addresses))
+	for _, a := range s.Addresses {
+		l, err := net.Listen("tcp", a.String())
 		if err != nil {
 			return fmt.Errorf("platform: %w", err)
 		}
-		n, err := filepath.Rel(dir, p)
-		if err != nil {
-			return fmt.Errorf("platform: %w", err)
-		}
-		s.Set(strings.TrimSuffix(filepath.ToSlash(n), ".toml"), string(b))
-		return nil
-	})
+		v := &http.Server{Handler: s.routes(a), ReadHeaderTimeout: time.Second}
+		s.mu.Lock()
+		s.servers = append(s.servers, v)
+		s.mu.Unlock()
+		go func() { failed <- v.Serve(l) }()
+	}
+	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("platform: %w", err)
+	}
+	return nil
 }
 
-// Set changes a value and returns the new revision.
-func (s *Server) Set(name, text string) uint64 {
+// Close ends all listeners and connections.
+func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.values == nil {
-		s.values = map[string]*platformpb.Value{}
+	for _, v := range s.servers {
+		_ = v.Close()
 	}
-	s.revision++
-	s.values[name] = &platformpb.Value{Name: name, Revision: s.revision, Text: text}
-	if s.changed != nil {
-		close(s.changed)
-	}
-	s.changed = make(chan struct{})
-	return s.revision
 }
 
-// Run serves until it fails.
-func (s *Server) Run(address string) error {
-	v := http.Server{Addr: address, Handler: s.routes(), ReadHeaderTimeout: time.Second}
-	return v.ListenAndServe()
+// Reads returns how many reads came; a waiting watch counts as one.
+func (s *Server) Reads() uint64 {
+	return s.reads.Load()
+}
+
+// ReadRate returns the reads of the last whole second.
+func (s *Server) ReadRate() uint64 {
+	return s.rate.last(time.Now())
 }
 
-func (s *Server) routes() http.Handler {
+func (s *Server) routes(a netip.AddrPort) http.Handler {
 	m := chi.NewRouter()
-	m.Get("/v1/values", s.getValues)
-	m.Get("/v1/vms", s.getVms)
+	m.Use(func(next http.Handler) http.Handler { return s.count(a, next) })
+	m.Get("/v1/values", func(w http.ResponseWriter, r *http.Request) { s.getValues(a, w, r) })
+	m.Get("/v1/vms", func(w http.ResponseWriter, _ *http.Request) { s.getVms(a, w) })
 	return m
 }
 
-func (s *Server) getValues(w http.ResponseWriter, r *http.Request) {
+// count counts a read and refuses it while the service is down.
+func (s *Server) count(a netip.AddrPort, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.reads.Add(1)
+		s.rate.add(time.Now())
+		if s.faultOf(a).down {
+			s.denied.Add(1)
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) getValues(a netip.AddrPort, w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "bad after", http.StatusBadRequest)
@@ -92,15 +117,19 @@
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
-		a, changed := s.since(after)
-		if len(a.GetValues()) > 0 {
-			answer(w, a)
+		v := s.view(a, after)
+		if v.down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if v.now || len(v.answer.GetValues()) > 0 {
+			answer(w, v.answer)
 			return
 		}
 		select {
-		case <-changed:
+		case <-v.changed:
 		case <-t.C:
-			answer(w, a)
+			answer(w, v.answer)
 			return
 		case <-r.Context().Done():
 			return
@@ -108,20 +137,46 @@
 	}
 }
 
-func (s *Server) since(after uint64) (*platformpb.ValuesAnswer, <-chan struct{}) {
+// view is what one reader is shown.
+type view struct {
+	answer *platformpb.ValuesAnswer
+	// changed is closed when another look is worthwhile.
+	changed <-chan struct{}
+	down    bool
+	// now asks for an answer without a wait.
+	now bool
+}
+
+func (s *Server) view(a netip.AddrPort, after uint64) view {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := &platformpb.ValuesAnswer{Revision: s.revision}
-	for _, v := range s.values {
-		if v.GetRevision() > after {
-			a.Values = append(a.Values, v)
-		}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	f := s.faultLocked(a)
+	n := f.newest(s.revision())
+	return view{
+		answer:  s.sinceLocked(after, n),
+		changed: s.changed,
+		down:    f.down,
+		now:     f.reverted && n < after,
 	}
-	return a, s.changed
 }
 
-func (s *Server) getVms(w http.ResponseWriter, _ *http.Request) {
-	answer(w, &platformpb.VmsAnswer{})
+func (s *Server) getVms(a netip.AddrPort, w http.ResponseWriter) {
+	s.mu.Lock()
+	f := s.faultLocked(a)
+	m := s.listAt(f.listTime(time.Now().Add(-s.Lag)))
+	s.mu.Unlock()
+	answer(w, m)
+}
+
+// wake lets every waiting watch look again. The caller holds mu.
+func (s *Server) wake() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
 }
 
 func answer(w http.ResponseWriter, m proto.Message) {
@@ -133,3 +188,34 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(b)
 }
+
+// rateCounter counts events of the current and the last second.
+type rateCounter struct {
+	mu     sync.Mutex
+	second int64
+	counts [2]uint64
+}
+
+func (c *rateCounter) add(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turn(now)
+	c.counts[1]++
+}
+
+func (c *rateCounter) last(now time.Time) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turn(now)
+	return c.counts[0]
+}
+
+func (c *rateCounter) turn(now time.Time) {
+	switch d := now.Unix() - c.second; {
+	case d == 1:
+		c.counts = [2]uint64{c.counts[1], 0}
+	case d > 1:
+		c.counts = [2]uint64{}
+	}
+	c.second = now.Unix()
+}
