--- a/standin/internal/cli/bench.go
+++ b/standin/internal/cli/bench.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os/signal"
@@ -10,7 +9,9 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+	"github.com/pelletier/go-toml/v2"
 
+	"lentilbend.example/standin/internal/load"
 	"lentilbend.example/standin/internal/measure"
 )
 
@@ -36,6 +37,23 @@
 }
 
 func loadCommand() command {
+	file, seed := "load.toml", uint64(1)
 	c := flaggy.NewSubcommand("load")
-	return command{sub: c, run: func(io.Writer) error { return errors.New("cli: load comes next") }}
+	c.Description = "send calls at given times and print one TOML document"
+	c.String(&file, "f", "file", "TOML file with entry VMs, kinds, workspaces and rate")
+	c.UInt64(&seed, "s", "seed", "seed of the arrivals")
+	return command{sub: c, run: func(out io.Writer) error {
+		g, err := load.Read(file)
+		if err != nil {
+			return err
+		}
+		g.Seed = seed
+		ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		defer cancel()
+		r, err := g.Run(ctx)
+		if err != nil {
+			return err
+		}
+		return toml.NewEncoder(out).Encode(r)
+	}}
 }
--- a/standin/internal/cli/servers.go
+++ b/standin/internal/cli/servers.go
@@ -55,7 +55,7 @@
 	if err := protojson.Unmarshal(b, a); err != nil {
 		return fmt.Errorf("cli: %s: %w", file, err)
 	}
-	s.SetVms(a.GetVms())
+	s.SetVMs(a.GetVms())
 	return nil
 }
 
--- a/standin/internal/platform/control.go
+++ b/standin/internal/platform/control.go
@@ -94,7 +94,7 @@
 	if err := protojson.Unmarshal(body, a); err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	s.SetVms(a.GetVms())
+	s.SetVMs(a.GetVms())
 	return nil
 }
 
--- a/standin/internal/platform/server_test.go
+++ b/standin/internal/platform/server_test.go
@@ -73,8 +73,8 @@
 
 	ginkgo.It("shows an old VM list", func() {
 		s.Lag = time.Hour
-		s.SetVms([]*platformpb.Vm{EntryVm(one, "a")})
-		s.SetVm(EntryVm(two, "a"))
+		s.SetVMs([]*platformpb.Vm{EntryVM(one, "a")})
+		s.SetVM(EntryVM(two, "a"))
 		gomega.Expect(s.listAt(time.Now().Add(-s.Lag)).GetVms()).To(gomega.HaveLen(1))
 		gomega.Expect(s.listAt(time.Now()).GetVms()).To(gomega.HaveLen(2))
 	})
--- a/standin/internal/platform/vms.go
+++ b/standin/internal/platform/vms.go
@@ -13,9 +13,9 @@
 	vms *platformpb.VmsAnswer
 }
 
-// SetVms replaces the VM list from now on; readers see it once Lag has passed.
+// SetVMs replaces the VM list from now on; readers see it once Lag has passed.
 // The first list counts as always known.
-func (s *Server) SetVms(vs []*platformpb.Vm) {
+func (s *Server) SetVMs(vs []*platformpb.Vm) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := &platformpb.VmsAnswer{Revision: uint64(len(s.lists) + 1), Vms: vs}
@@ -26,9 +26,9 @@
 	s.lists = append(s.lists, l)
 }
 
-// SetVm sets the state of one VM from now on; STATE_UNKNOWN takes it off the
+// SetVM sets the state of one VM from now on; STATE_UNKNOWN takes it off the
 // list.
-func (s *Server) SetVm(v *platformpb.Vm) {
+func (s *Server) SetVM(v *platformpb.Vm) {
 	s.mu.Lock()
 	var old []*platformpb.Vm
 	if n := len(s.lists); n > 0 {
@@ -44,16 +44,16 @@
 	if v.GetState() != platformpb.VmState_STATE_UNKNOWN {
 		vs = append(vs, v)
 	}
-	s.SetVms(vs)
+	s.SetVMs(vs)
 }
 
-// EntryVm returns a live entry VM with the given peer address.
-func EntryVm(a netip.AddrPort, centre string) *platformpb.Vm {
+// EntryVM returns a live entry VM with the given peer address.
+func EntryVM(a netip.AddrPort, centre string) *platformpb.Vm {
 	return vm(a, centre, platformpb.VmRole_ROLE_ENTRY)
 }
 
-// BackendVm returns a live backend server with the given serving address.
-func BackendVm(a netip.AddrPort, centre string) *platformpb.Vm {
+// BackendVM returns a live backend server with the given serving address.
+func BackendVM(a netip.AddrPort, centre string) *platformpb.Vm {
 	return vm(a, centre, platformpb.VmRole_ROLE_BACKEND)
 }
 
