Run fleets of entry VMs on loopback and measure latency

Cause: measurements and scenarios need real entry VMs that are ended whatever happens. Change: package fleet starts processes on loopback addresses of their own, with the stand-ins inside; standin measure latency.

--- /dev/null
+++ b/standin/internal/fleet/fleet.go
@@ -0,0 +1,258 @@
+// Package fleet runs entry VMs as processes on loopback, with stand-ins for
+// the platform and the backend servers in this process.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"lentilbend.example/internal/platformpb"
+
+	"lentilbend.example/standin/internal/backend"
+	"lentilbend.example/standin/internal/history"
+	"lentilbend.example/standin/internal/load"
+	"lentilbend.example/standin/internal/platform"
+)
+
+// Times of a fleet.
+const (
+	startTimeout = 30 * time.Second
+	endTimeout   = 30 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Fleet is a deployment on loopback addresses of its own. Set the exported
+// fields before Start.
+type Fleet struct {
+	// Bin is the folder that holds the program lentilbend.
+	Bin string
+	// Dir takes settings and logs; an own temporary folder if empty.
+	Dir string
+	// Deployment says what runs.
+	Deployment Deployment
+	// Settings is TOML text added to the settings of each entry VM.
+	Settings string
+	// Environment is added to the environment of each entry VM.
+	Environment []string
+	// ListLag is how old the platform's VM list is.
+	ListLag time.Duration
+	// Seed makes times of work repeatable.
+	Seed uint64
+
+	Platform *platform.Server
+	Backends []*backend.Server
+	Entries  []*Entry
+	Recorder *history.Recorder
+
+	executions *backend.Recorder
+	block      *block
+	temporary  bool
+	start      time.Time
+	starter    *starter
+
+	mu        sync.Mutex
+	published map[string]string
+}
+
+// Start starts the stand-ins and the entry VMs, and waits until all of these
+// are ready. Close must be called whatever the result.
+func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.prepare(); err != nil {
+		return err
+	}
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	if err := f.startBackends(); err != nil {
+		return err
+	}
+	for i := range f.Deployment.Entries {
+		if err := f.startEntry(i); err != nil {
+			return err
+		}
+	}
+	return f.WaitReady(ctx)
+}
+
+func (f *Fleet) prepare() error {
+	f.start = time.Now()
+	f.executions = &backend.Recorder{}
+	f.Recorder = &history.Recorder{}
+	f.published = map[string]string{}
+	f.starter = newStarter()
+	if f.Dir == "" {
+		d, err := os.MkdirTemp("", "lentilbend-fleet-")
+		if err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+		f.Dir, f.temporary = d, true
+	}
+	var err error
+	f.block, err = newBlock()
+	return err
+}
+
+// entryAddress returns the peer address of an entry VM.
+func (f *Fleet) entryAddress(i, port int) netip.AddrPort {
+	return netip.AddrPortFrom(f.block.address(1+i), uint16(port))
+}
+
+func (f *Fleet) startPlatform() error {
+	f.Platform = &platform.Server{Lag: f.ListLag}
+	var vs []*platformpb.Vm
+	for i, c := range f.Deployment.Entries {
+		f.Platform.Addresses = append(f.Platform.Addresses, f.platformAddress(i))
+		vs = append(vs, platform.EntryVM(f.entryAddress(i, peerPort), c))
+	}
+	for _, s := range f.Deployment.placeServers(f.block) {
+		vs = append(vs, platform.BackendVM(s.Address, s.DataCentre))
+	}
+	f.Platform.SetVMs(vs)
+	f.Publish()
+	go func() { _ = f.Platform.Run() }()
+	for _, a := range f.Platform.Addresses {
+		if err := waitListening(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) platformAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(f.block.address(platformHost), uint16(platformPort+i))
+}
+
+func (f *Fleet) startBackends() error {
+	for i := range f.Deployment.Services {
+		s := &f.Deployment.Services[i]
+		for _, p := range s.Servers {
+			b := s.server(p)
+			b.Seed = f.Seed
+			b.Recorder = f.executions
+			b.Keys = f.Deployment.keys()
+			f.Backends = append(f.Backends, b)
+			go func() { _ = b.Run() }()
+		}
+	}
+	for _, b := range f.Backends {
+		if err := waitListening(b.Address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until each running entry VM is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, e := range f.Entries {
+		for e.Running() && !e.Ready(ctx) {
+			if ctx.Err() != nil {
+				return fmt.Errorf("fleet: entry VM %d is not ready: %s", e.Index, e.LastLog())
+			}
+			time.Sleep(pollInterval)
+		}
+		if !e.Running() {
+			return fmt.Errorf("fleet: entry VM %d ended: %s", e.Index, e.LastLog())
+		}
+	}
+	return nil
+}
+
+// Close ends all that was started.
+func (f *Fleet) Close() {
+	for _, e := range f.Entries {
+		e.end()
+	}
+	for _, b := range f.Backends {
+		b.Close()
+	}
+	if f.Platform != nil {
+		f.Platform.Close()
+	}
+	if f.starter != nil {
+		f.starter.close()
+	}
+	if f.block != nil {
+		f.block.close()
+	}
+	if f.temporary {
+		_ = os.RemoveAll(f.Dir)
+	}
+}
+
+// Generator returns a load generator towards all entry VMs; rate, kinds and
+// times are still to be set.
+func (f *Fleet) Generator() *load.Generator {
+	g := &load.Generator{
+		Kinds:    f.Deployment.Kinds(),
+		Balance:  200 * time.Millisecond,
+		Seed:     f.Seed,
+		Recorder: f.Recorder,
+	}
+	for _, e := range f.Entries {
+		g.Entries = append(g.Entries, load.Entry{Caller: e.Caller, Operator: e.Operator})
+	}
+	for _, w := range f.Deployment.Workspaces {
+		g.Workspaces = append(g.Workspaces, load.Workspace{Name: w.Name, Key: w.Key, Share: w.Share})
+	}
+	return g
+}
+
+// History returns what was recorded, with the counts of the backend servers.
+func (f *Fleet) History() *history.History {
+	h := f.Recorder.History()
+	h.Executions = f.executions.Executions(0)
+	h.Start, h.End = f.start, time.Now()
+	for _, b := range f.Backends {
+		h.Servers = append(h.Servers, history.ServerCounts{Address: b.Address, Service: b.Service, Counts: b.Counts()})
+	}
+	for _, s := range f.Deployment.Services {
+		h.ProbeRates = append(h.ProbeRates, history.ProbeRate{
+			Service: s.Name, Rate: s.ProbeRate, Burst: max(1, s.ProbeRate),
+		})
+		for _, r := range s.Rows {
+			h.Limits = append(h.Limits, history.Limit{
+				Workspace: r.Workspace, Service: s.Name, Rate: r.Rate, Burst: r.Burst,
+			})
+		}
+	}
+	return h
+}
+
+func waitListening(a netip.AddrPort) error {
+	until := time.Now().Add(startTimeout)
+	for {
+		c, err := net.Dial("tcp", a.String())
+		if err == nil {
+			return c.Close()
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("fleet: %w", err)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// ErrNoEntry means that there is no entry VM with the given number.
+var ErrNoEntry = errors.New("fleet: no entry VM has this number")
+
+// Entry returns an entry VM by its number from 0.
+func (f *Fleet) Entry(i int) (*Entry, error) {
+	if i < 0 || i >= len(f.Entries) {
+		return nil, ErrNoEntry
+	}
+	return f.Entries[i], nil
+}
+
+func (f *Fleet) logFile(i int) string {
+	return filepath.Join(f.Dir, fmt.Sprintf("entry-%d.log", i+1))
+}
--- a/standin/internal/load/result.go
+++ b/standin/internal/load/result.go
@@ -106,10 +106,11 @@
 }
 
 func newLine(name string) *Line {
-	return &Line{Name: name, histogram: newHistogram()}
+	return &Line{Name: name, histogram: NewHistogram()}
 }
 
-func newHistogram() *hdrhistogram.Histogram {
+// NewHistogram returns an empty histogram of latencies in nanoseconds.
+func NewHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(minLatency, maxLatency, significantFigures)
 }
 
@@ -127,7 +128,7 @@
 	}
 	c.cells[k].add(w, e.Served())
 	for len(c.windows) <= w {
-		c.windows = append(c.windows, newHistogram())
+		c.windows = append(c.windows, NewHistogram())
 	}
 	if e.Served() {
 		_ = c.windows[w].RecordValue(l)
--- /dev/null
+++ b/standin/internal/measure/latency.go
@@ -0,0 +1,179 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lentilbend.example/standin/internal/fleet"
+	"lentilbend.example/standin/internal/load"
+)
+
+// Sizes of the latency measurement.
+const (
+	latencyRate    = 10000
+	latencyRounds  = 2
+	latencySeconds = 16
+	latencyCores   = 2
+	latencyBound   = 1.4
+)
+
+func init() {
+	register(Measurement{
+		Name: "latency",
+		Text: "latency added by one entry VM with GOMAXPROCS=2 at 10,000 calls/s, against straight calls in the same run",
+		Run:  measureLatency,
+	})
+}
+
+// latencyResult holds latencies in milliseconds.
+type latencyResult struct {
+	CallsPerSecond float64
+	Cores          int
+	Straight       load.Latency
+	Through        load.Latency
+	Added          load.Latency
+	// NotServed counts the calls through the entry VM without a good answer.
+	NotServed uint64
+	Calls     uint64
+	// ProcessorPerCall is the entry VM's processor time, in microseconds.
+	ProcessorPerCall float64
+
+	straight, through *hdrhistogram.Histogram
+}
+
+// Targets compares the added latency with the stated bound.
+func (r *latencyResult) Targets() []Target {
+	return []Target{AtMost("Added.P99", "ms", latencyBound, r.Added.P99)}
+}
+
+// Plot draws the latency by percentile.
+func (r *latencyResult) Plot() Plot {
+	return Plot{
+		Title: "Latency by percentile",
+		X:     "nines of the percentile",
+		Y:     "latency (ms)",
+		Lines: []Line{nines("straight", r.straight), nines("through an entry VM", r.through)},
+	}
+}
+
+// nines returns the latency at percentiles ever closer to 100.
+func nines(name string, h *hdrhistogram.Histogram) Line {
+	l := Line{Name: name}
+	for n, out := 0.0, 1.0; n <= 4; n, out = n+0.25, out*0.5623413 {
+		ms := float64(h.ValueAtPercentile(100*(1-out))) / float64(time.Millisecond)
+		l.Points = append(l.Points, Point{X: n, Y: ms})
+	}
+	return l
+}
+
+// measureLatency sends the same calls in turn straight to the backend servers
+// and through the entry VM.
+func measureLatency(ctx context.Context, o Options) (any, error) {
+	f := latencyFleet(o)
+	defer f.Close()
+	if err := f.Start(ctx); err != nil {
+		return nil, err
+	}
+	s := o.Seconds
+	if s == 0 {
+		s = latencySeconds
+	}
+	part := time.Duration(s) * time.Second / (2 * latencyRounds)
+	straight, through := latencyGenerators(f, part)
+	r := &latencyResult{CallsPerSecond: latencyRate, Cores: latencyCores}
+	if err := warmUp(ctx, straight, through); err != nil {
+		return nil, err
+	}
+	var processor time.Duration
+	for i := range latencyRounds {
+		straight.Seed, through.Seed = o.Seed+uint64(i), o.Seed+uint64(i)
+		a, err := straight.Run(ctx)
+		if err != nil {
+			return nil, err
+		}
+		before, err := f.Entries[0].Processor()
+		if err != nil {
+			return nil, err
+		}
+		b, err := through.Run(ctx)
+		if err != nil {
+			return nil, err
+		}
+		after, err := f.Entries[0].Processor()
+		if err != nil {
+			return nil, err
+		}
+		processor += after - before
+		r.add(a, b)
+	}
+	r.finish(processor)
+	return r, nil
+}
+
+func latencyFleet(o Options) *fleet.Fleet {
+	d := fleet.Small(1)
+	d.Services = d.Services[:1]
+	c := &d.Services[0]
+	c.Instances = 12
+	c.Slots, c.Connections = 1000, 5000
+	c.ServiceTime, c.ProbeRate = 0, 0
+	c.Routes = c.Routes[:1]
+	return &fleet.Fleet{
+		Bin:         o.Bin,
+		Deployment:  d,
+		Seed:        o.Seed,
+		Environment: []string{"GOMAXPROCS=2"},
+	}
+}
+
+func latencyGenerators(f *fleet.Fleet, part time.Duration) (straight, through *load.Generator) {
+	through, straight = f.Generator(), f.Generator()
+	straight.Entries = nil
+	for _, b := range f.Backends {
+		straight.Entries = append(straight.Entries, load.Entry{Caller: b.Address})
+	}
+	for _, g := range []*load.Generator{straight, through} {
+		g.Rate, g.For, g.Balance, g.Recorder = latencyRate, part, 0, nil
+	}
+	return straight, through
+}
+
+// warmUp opens connections and lets the runtime settle.
+func warmUp(ctx context.Context, gs ...*load.Generator) error {
+	for _, g := range gs {
+		w := *g
+		w.For = time.Second
+		if _, err := w.Run(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *latencyResult) add(straight, through *load.Result) {
+	if r.straight == nil {
+		r.straight, r.through = load.NewHistogram(), load.NewHistogram()
+	}
+	for _, h := range straight.Windows {
+		r.straight.Merge(h)
+	}
+	for _, h := range through.Windows {
+		r.through.Merge(h)
+	}
+	r.Calls += through.Total.Calls
+	r.NotServed += through.Total.Calls - through.Total.Served
+}
+
+func (r *latencyResult) finish(processor time.Duration) {
+	r.Straight, r.Through = load.Summary(r.straight), load.Summary(r.through)
+	r.Added = load.Latency{
+		P50:  r.Through.P50 - r.Straight.P50,
+		P90:  r.Through.P90 - r.Straight.P90,
+		P99:  r.Through.P99 - r.Straight.P99,
+		P999: r.Through.P999 - r.Straight.P999,
+		Max:  r.Through.Max - r.Straight.Max,
+	}
+	r.ProcessorPerCall = float64(processor.Microseconds()) / float64(r.Calls)
+}
