Keep the table by few watchers, slow polls and relays between VMs

Cause: every VM held a watch on the platform and nothing spread between VMs; a VM cut off from the platform would never learn of an edit. Measured: not yet; the relay has no transport until the peer streams land. Conclusion: the decisions stand apart from the reads and can be tested.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .PHONY: build demo test check fmt lint generate measure clean
 
 MODULES := internal lentilbend standin
-GOFILES = $(shell git ls-files -co --exclude-standard '*.go')
+GOFILES = $(wildcard $(shell git ls-files -co --exclude-standard "*.go"))
 
 build: ## Build both programs into bin/.
 	go build -o bin/lentilbend ./lentilbend
--- a/internal/table/parse.go
+++ b/internal/table/parse.go
@@ -58,6 +58,8 @@
 		table: &Table{Revision: revision},
 		rows:  map[string][]Row{},
 		docs:  map[string]*document.Document{},
+
+		places: map[finding.Place]bool{},
 	}
 	vs := slices.SortedFunc(slices.Values(values), func(a, b Value) int {
 		return cmp.Compare(a.Name, b.Name)
@@ -80,6 +82,9 @@
 	rows  map[string][]Row
 	docs  map[string]*document.Document
 	found finding.List
+	// places holds where a finding stands already; what is wrong in form is
+	// not checked for its meaning.
+	places map[finding.Place]bool
 }
 
 func (p *parser) value(v Value) {
@@ -131,6 +136,9 @@
 	doc, fs := document.Decode(v.Name, []byte(v.Text), out)
 	p.docs[v.Name] = doc
 	p.found.Append(fs)
+	for _, f := range fs {
+		p.places[f.Place] = true
+	}
 }
 
 func (p *parser) require(names ...string) {
--- a/internal/table/validate.go
+++ b/internal/table/validate.go
@@ -23,6 +23,10 @@
 	if d, ok := p.docs[value]; ok {
 		pl = d.Place(field)
 	}
+	if p.places[pl] {
+		return
+	}
+	p.places[pl] = true
 	p.found.Add(pl, format, args...)
 }
 
--- a/lentilbend/internal/platform/client.go
+++ b/lentilbend/internal/platform/client.go
@@ -52,8 +52,8 @@
 	return a, nil
 }
 
-// Vms reads the VM list.
-func (c *Client) Vms(ctx context.Context) (*platformpb.VmsAnswer, error) {
+// VMs reads the VM list.
+func (c *Client) VMs(ctx context.Context) (*platformpb.VmsAnswer, error) {
 	a := &platformpb.VmsAnswer{}
 	if err := c.read(ctx, "/v1/vms", 0, a); err != nil {
 		return nil, err
--- /dev/null
+++ b/lentilbend/internal/relay/relay.go
@@ -0,0 +1,306 @@
+// Package relay spreads accepted values and the VM list between entry VMs, so
+// that a VM that cannot reach the platform still learns them within seconds.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"lentilbend.example/internal/event"
+	"lentilbend.example/internal/peerpb"
+
+	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/store"
+)
+
+// Times of the relay.
+const (
+	// gossipEvery is the time between announcements to a random peer.
+	gossipEvery = 2 * time.Second
+	// spread is the longest wait before a pull, so that pulls spread over
+	// all VMs that have the version by then.
+	spread = 200 * time.Millisecond
+	// pullTimeout bounds one pull.
+	pullTimeout = 3 * time.Second
+)
+
+// Peers sends to the other entry VMs.
+type Peers interface {
+	Send(to netip.AddrPort, f *peerpb.Frame) bool
+	Pull(ctx context.Context, to netip.AddrPort, r *peerpb.PullRequest) (*peerpb.PullAnswer, error)
+}
+
+// Relay announces what this VM has and pulls what others have. Set the
+// exported fields before Run.
+type Relay struct {
+	Store  *store.Store
+	List   *platform.List
+	Bus    *event.Bus
+	Peers  Peers
+	Logger log.Logger
+	// Members returns the entry VMs that answer.
+	Members func() []netip.AddrPort
+	// Resync is called when a peer holds other values of the same revision.
+	Resync func(ctx context.Context)
+
+	mu    sync.Mutex
+	heard map[netip.AddrPort]Announced
+	// invalid is the newest version of a peer that was found invalid here,
+	// as a peer that runs another release may have it. It is not pulled again.
+	invalid store.Version
+	wake    chan struct{}
+}
+
+// Announced is what a peer last announced.
+type Announced struct {
+	Table store.Version
+	List  uint64
+}
+
+// Run announces and pulls until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	if err := event.Subscribe(ctx, r.Bus, func(event.TableAccepted) { r.announceAll() }); err != nil {
+		return err
+	}
+	if err := event.Subscribe(ctx, r.Bus, func(event.ListRead) { r.announceAll() }); err != nil {
+		return err
+	}
+	var g sync.WaitGroup
+	g.Go(func() { r.gossip(ctx) })
+	g.Go(func() { r.pulls(ctx) })
+	g.Wait()
+	return nil
+}
+
+// Receive takes the announcements of a peer.
+func (r *Relay) Receive(from netip.AddrPort, ms []*peerpb.ConfigMessage) {
+	for _, m := range ms {
+		a := Announced{
+			Table: store.Version{Revision: m.GetAccepted(), Digest: m.GetDigest()},
+			List:  m.GetList(),
+		}
+		r.note(from, a)
+		if a.Table.Revision < r.Store.Accepted().Revision || a.List < r.List.Revision() {
+			r.announce(from)
+		}
+	}
+}
+
+func (r *Relay) note(from netip.AddrPort, a Announced) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heard == nil {
+		r.heard = map[netip.AddrPort]Announced{}
+	}
+	r.heard[from] = a
+	select {
+	case r.wakeup() <- struct{}{}:
+	default:
+	}
+}
+
+// wakeup returns the channel that wakes the pulls; mu is held.
+func (r *Relay) wakeup() chan struct{} {
+	if r.wake == nil {
+		r.wake = make(chan struct{}, 1)
+	}
+	return r.wake
+}
+
+// Answer answers a peer's pull.
+func (r *Relay) Answer(q *peerpb.PullRequest) *peerpb.PullAnswer {
+	v, vs := r.Store.Since(q.GetSince())
+	return &peerpb.PullAnswer{
+		Accepted: v.Revision,
+		Digest:   v.Digest,
+		Values:   vs,
+		Vms:      r.List.Message(q.GetList()),
+	}
+}
+
+// Heard returns how many of the members have announced their version.
+func (r *Relay) Heard(members []netip.AddrPort) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, m := range members {
+		if _, ok := r.heard[m]; ok {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Relay) announce(to netip.AddrPort) {
+	v := r.Store.Accepted()
+	m := &peerpb.ConfigMessage{Accepted: v.Revision, Digest: v.Digest, List: r.List.Revision()}
+	r.Peers.Send(to, &peerpb.Frame{Config: []*peerpb.ConfigMessage{m}})
+}
+
+func (r *Relay) announceAll() {
+	for _, m := range r.Members() {
+		r.announce(m)
+	}
+}
+
+// gossip announces to a random peer at intervals, so that a lost announcement
+// is made good.
+func (r *Relay) gossip(ctx context.Context) {
+	for sleep(ctx, gossipEvery/2+rand.N(gossipEvery)) {
+		ms := r.Members()
+		r.keep(ms)
+		if len(ms) > 0 {
+			r.announce(ms[rand.IntN(len(ms))])
+		}
+	}
+}
+
+// keep forgets the peers that are no members.
+func (r *Relay) keep(members []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.heard {
+		if !slices.Contains(members, p) {
+			delete(r.heard, p)
+		}
+	}
+}
+
+func (r *Relay) pulls(ctx context.Context) {
+	r.mu.Lock()
+	w := r.wakeup()
+	r.mu.Unlock()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w:
+		}
+		r.catchUp(ctx)
+	}
+}
+
+// catchUp pulls until no peer is known to have more.
+func (r *Relay) catchUp(ctx context.Context) {
+	if r.conflict() && r.Resync != nil {
+		r.Resync(ctx)
+	}
+	for len(r.ahead()) > 0 && sleep(ctx, rand.N(spread)) {
+		ps := r.ahead()
+		if len(ps) == 0 {
+			return
+		}
+		p := ps[rand.IntN(len(ps))]
+		if err := r.pull(ctx, p); err != nil {
+			_ = level.Warn(r.Logger).Log("msg", "Pull failed.", "peer", p, "err", err)
+			r.forget(p)
+		}
+	}
+}
+
+// ahead returns the peers that have a newer table or list.
+func (r *Relay) ahead() []netip.AddrPort {
+	v, l := r.Store.Accepted(), r.List.Revision()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ps []netip.AddrPort
+	for p, a := range r.heard {
+		newer := a.Table.Revision > v.Revision && a.Table != r.invalid
+		if newer || a.List > l {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+// conflict tells whether a peer holds other values of the revision held here,
+// and forgets what that peer announced.
+func (r *Relay) conflict() bool {
+	v := r.Store.Accepted()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := false
+	for p, a := range r.heard {
+		if a.Table.Revision == v.Revision && a.Table.Digest != v.Digest {
+			delete(r.heard, p)
+			found = true
+		}
+	}
+	return found
+}
+
+func (r *Relay) forget(p netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.heard, p)
+}
+
+// pull takes what the peer has newer. Values that do not fit are asked for
+// whole.
+func (r *Relay) pull(ctx context.Context, p netip.AddrPort) error {
+	ok, err := r.pullSince(ctx, p, r.Store.Accepted().Revision)
+	if err != nil || ok {
+		return err
+	}
+	if ok, err = r.pullSince(ctx, p, 0); err != nil || ok {
+		return err
+	}
+	r.forget(p)
+	return nil
+}
+
+func (r *Relay) pullSince(ctx context.Context, p netip.AddrPort, since uint64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	q := &peerpb.PullRequest{Since: since, List: r.List.Revision()}
+	a, err := r.Peers.Pull(ctx, p, q)
+	if err != nil {
+		return false, err
+	}
+	if a.GetVms() != nil {
+		r.List.Apply(a.GetVms())
+	}
+	v := store.Version{Revision: a.GetAccepted(), Digest: a.GetDigest()}
+	r.note(p, Announced{Table: v, List: max(a.GetVms().GetRevision(), q.GetList())})
+	ok := r.Store.ApplyPeer(since, v, a.GetValues())
+	if ok && r.Store.Accepted().Revision < v.Revision {
+		r.setInvalid(v)
+	}
+	return ok, nil
+}
+
+func (r *Relay) setInvalid(v store.Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.invalid = v
+}
+
+// Dump returns what the peers announced.
+func (r *Relay) Dump() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := map[string]Announced{}
+	for p, a := range r.heard {
+		d[p.String()] = a
+	}
+	return d
+}
+
+// sleep waits and tells whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/lentilbend/internal/serve/config.go
@@ -0,0 +1,73 @@
+package serve
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"lentilbend.example/internal/peerpb"
+
+	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/relay"
+	"lentilbend.example/lentilbend/internal/store"
+)
+
+// Reads of the platform's service.
+const (
+	watchers   = 3
+	pollEvery  = 5 * time.Second
+	fleetReads = 10
+)
+
+// buildConfig makes the parts that keep the table and the VM list.
+func (p *Process) buildConfig() {
+	s := p.Settings
+	p.store = &store.Store{Bus: p.bus, Logger: p.root.Part("store")}
+	p.list = &platform.List{Bus: p.bus}
+	p.reader = &platform.Reader{
+		Client:  &platform.Client{Addresses: s.Platform.Addresses, Timeout: s.Platform.Timeout},
+		Store:   p.store,
+		List:    p.list,
+		Plan:    p.plan(),
+		Logger:  p.root.Part("platform"),
+		Members: p.answering,
+	}
+	p.relay = &relay.Relay{
+		Store:   p.store,
+		List:    p.list,
+		Bus:     p.bus,
+		Peers:   noPeers{},
+		Logger:  p.root.Part("relay"),
+		Members: p.answering,
+		Resync:  p.reader.Resync,
+	}
+	p.store.Register(p.registry)
+	p.reader.Register(p.registry)
+	p.parts["Store"] = p.store
+	p.parts["VmList"] = p.list
+	p.parts["Platform"] = p.reader
+	p.parts["Relay"] = p.relay
+}
+
+func (p *Process) plan() platform.Plan {
+	return platform.Plan{
+		Self:       p.Settings.Peer.Address,
+		Watchers:   watchers,
+		PollEvery:  pollEvery,
+		FleetReads: fleetReads,
+	}
+}
+
+// answering returns the entry VMs that answer.
+func (p *Process) answering() []netip.AddrPort {
+	return nil
+}
+
+// noPeers stands for the peers while there is no transport to them.
+type noPeers struct{}
+
+func (noPeers) Send(netip.AddrPort, *peerpb.Frame) bool { return false }
+
+func (noPeers) Pull(context.Context, netip.AddrPort, *peerpb.PullRequest) (*peerpb.PullAnswer, error) {
+	return nil, context.Canceled
+}
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"lentilbend.example/internal/event"
 	"lentilbend.example/internal/timer"
@@ -27,6 +28,7 @@
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/relay"
 	"lentilbend.example/lentilbend/internal/settings"
 	"lentilbend.example/lentilbend/internal/store"
 )
@@ -46,9 +48,13 @@
 	bus      *event.Bus
 	timer    *timer.Service
 	store    *store.Store
-	watcher  *platform.Watcher
+	list     *platform.List
+	reader   *platform.Reader
+	relay    *relay.Relay
 	caller   *caller.Server
 	operator *operator.Server
+	registry *prometheus.Registry
+	parts    map[string]operator.Dumper
 	stopping atomic.Bool
 }
 
@@ -69,7 +75,8 @@
 		}()
 	}
 	run(func() error { return p.timer.Run(ctx) })
-	run(func() error { return p.watcher.Run(ctx) })
+	run(func() error { return p.reader.Run(ctx) })
+	run(func() error { return p.relay.Run(ctx) })
 	run(p.operator.Run)
 	run(p.caller.Run)
 	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
@@ -92,12 +99,10 @@
 	p.logger = p.root.Part("serve")
 	p.bus = event.NewBus()
 	p.timer = &timer.Service{Bus: p.bus, Resolution: tickResolution, PauseAfter: pauseAfter}
-	p.store = &store.Store{Bus: p.bus, Logger: p.root.Part("store")}
-	p.watcher = &platform.Watcher{
-		Client: &platform.Client{Addresses: s.Platform.Addresses, Timeout: s.Platform.Timeout},
-		Store:  p.store,
-		Logger: p.root.Part("platform"),
-	}
+	p.registry = prometheus.NewRegistry()
+	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.parts = map[string]operator.Dumper{}
+	p.buildConfig()
 	p.caller = &caller.Server{
 		Settings: s.Caller,
 		Sizes:    s.Limits,
@@ -105,10 +110,10 @@
 	}
 	p.operator = &operator.Server{
 		Settings: s.Operator,
-		Registry: prometheus.NewRegistry(),
+		Registry: p.registry,
 		Ready:    p.ready,
 		SetLevel: p.root.SetLevel,
-		Parts:    map[string]operator.Dumper{},
+		Parts:    p.parts,
 	}
 	return nil
 }
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -50,6 +50,8 @@
 	Certificate string `document:"optional"`
 	Key         string `document:"optional"`
 	Authority   string `document:"optional"`
+	// Seeds are peer addresses to try while no VM list is known.
+	Seeds []netip.AddrPort `document:"optional"`
 	// ListAge is the greatest age of the VM list that the platform may
 	// answer with.
 	ListAge time.Duration `document:"optional"`
--- a/lentilbend/internal/store/snapshot.go
+++ b/lentilbend/internal/store/snapshot.go
@@ -11,18 +11,16 @@
 	"lentilbend.example/internal/table"
 )
 
-// PeerAnswer is what a peer gives of its accepted values.
-type PeerAnswer struct {
-	Accepted uint64
-	// Digest is the digest of all the peer's accepted values.
-	Digest uint64
-	Values []*platformpb.Value
-}
-
 // snapshot is the set of values at one revision. It is not changed once made.
 type snapshot struct {
 	revision uint64
 	values   map[string]*platformpb.Value
+	// sum is the hash over the values that are not deleted.
+	sum uint64
+}
+
+func (s snapshot) version() Version {
+	return Version{Revision: s.revision, Digest: s.sum}
 }
 
 // with returns the snapshot at a later revision.
@@ -32,6 +30,7 @@
 	for _, v := range changed {
 		n.values[v.GetName()] = v
 	}
+	n.sum = digest(n.texts())
 	return n
 }
 
@@ -46,7 +45,7 @@
 	return vs
 }
 
-// texts returns the values that are not deleted.
+// texts returns the values that are not deleted, by name.
 func (s snapshot) texts() []table.Value {
 	var vs []table.Value
 	for _, v := range s.since(0) {
@@ -57,17 +56,18 @@
 	return vs
 }
 
-// digest returns a hash over all values.
-func (s snapshot) digest() uint64 {
+// digest returns a hash over names and texts.
+func digest(vs []table.Value) uint64 {
 	h := xxhash.New()
-	for _, v := range s.texts() {
-		writeString(h, v.Name)
-		writeString(h, v.Text)
+	for _, v := range vs {
+		write(h, v.Name)
+		write(h, v.Text)
 	}
 	return h.Sum64()
 }
 
-func writeString(h *xxhash.Digest, s string) {
+// write adds a string and its length, so that no two lists hash the same text.
+func write(h *xxhash.Digest, s string) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(len(s)))
 	_, _ = h.Write(b[:])
--- a/lentilbend/internal/store/store.go
+++ b/lentilbend/internal/store/store.go
@@ -25,15 +25,24 @@
 	mu       sync.Mutex
 	accepted snapshot
 	newest   snapshot
-	refused  refusal
+	refused  Refused
+	refusals uint64
 	// events are published once mu is free.
 	events []event.Event
 }
 
-// refusal is the newest revision that was found invalid.
-type refusal struct {
-	revision uint64
-	findings []finding.Finding
+// Refused is the newest revision that was found invalid.
+type Refused struct {
+	Revision uint64
+	Findings []string
+}
+
+// Version names a set of values: the platform's revision and a hash over the
+// values. Two sets of one revision differ only where the platform was set back
+// and counted on from an older revision.
+type Version struct {
+	Revision uint64
+	Digest   uint64
 }
 
 // Table returns the table in force, or nil before the first.
@@ -48,60 +57,65 @@
 	return s.newest.revision
 }
 
-// Accepted returns the revision in force and the digest of its values.
-func (s *Store) Accepted() (uint64, uint64) {
+// Accepted returns the version in force.
+func (s *Store) Accepted() Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.accepted.revision, s.accepted.digest()
+	return s.accepted.version()
 }
 
-// Since returns the accepted revision, the digest of its values, and those of
-// them that changed after the given revision.
-func (s *Store) Since(revision uint64) (uint64, uint64, []*platformpb.Value) {
+// Since returns the accepted version and those of its values that changed
+// after the given revision.
+func (s *Store) Since(revision uint64) (Version, []*platformpb.Value) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.accepted.revision, s.accepted.digest(), s.accepted.since(revision)
+	return s.accepted.version(), s.accepted.since(revision)
 }
 
 // ApplyPlatform takes the platform's answer to a read of the values after
-// revision since. An answer that is no newer than what is known is ignored.
+// revision since; 0 means a read of all values. It ignores an answer that is
+// older than what is known, and one that does not follow it.
 func (s *Store) ApplyPlatform(since uint64, a *platformpb.ValuesAnswer) {
 	defer s.publish()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.GetRevision() <= s.newest.revision {
+	if a.GetRevision() < s.newest.revision {
 		return
 	}
-	if since > s.newest.revision {
+	if since != 0 && since != s.newest.revision {
 		return
 	}
 	base := s.newest
 	if since == 0 {
 		base = snapshot{}
 	}
-	s.newest = base.with(a.GetRevision(), a.GetValues())
-	s.offer(s.newest)
+	n := base.with(a.GetRevision(), a.GetValues())
+	if n.version() == s.newest.version() {
+		return
+	}
+	s.newest = n
+	s.offer(n)
 }
 
-// ApplyPeer takes a peer's accepted values after revision since. It returns
-// false when they do not fit the values held here, so that the peer must be
-// asked for all of them.
-func (s *Store) ApplyPeer(since uint64, a *PeerAnswer) bool {
+// ApplyPeer takes a peer's accepted version with its values after revision
+// since. It returns false when they do not fit the values held here, so that
+// the peer must be asked for all of them.
+func (s *Store) ApplyPeer(since uint64, v Version, values []*platformpb.Value) bool {
 	defer s.publish()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.Accepted <= s.accepted.revision {
+	if v.Revision <= s.accepted.revision {
 		return true
 	}
-	base := snapshot{}
-	if since > 0 {
-		base = s.accepted
+	base := s.accepted
+	if since == 0 {
+		base = snapshot{}
 	}
 	if since != base.revision {
 		return false
 	}
-	n := base.with(a.Accepted, a.Values)
-	if n.digest() != a.Digest {
+	n := base.with(v.Revision, values)
+	if n.version() != v {
 		return false
 	}
 	s.offer(n)
@@ -111,14 +125,14 @@
 	return true
 }
 
-// offer validates a snapshot and puts it in force when it is newer.
+// offer validates a snapshot and puts it in force unless it is older.
 func (s *Store) offer(n snapshot) {
 	t, fs := table.Parse(n.revision, n.texts())
 	if len(fs) > 0 {
 		s.refuse(n.revision, fs)
 		return
 	}
-	if n.revision <= s.accepted.revision {
+	if n.revision < s.accepted.revision {
 		return
 	}
 	s.accepted = n
@@ -128,8 +142,10 @@
 }
 
 func (s *Store) refuse(revision uint64, fs []finding.Finding) {
-	s.refused = refusal{revision: revision, findings: fs}
+	s.refusals++
+	s.refused = Refused{Revision: revision}
 	for _, f := range fs {
+		s.refused.Findings = append(s.refused.Findings, f.String())
 		_ = level.Warn(s.Logger).Log("msg", "Table refused.", "revision", revision, "finding", f.String())
 	}
 	s.events = append(s.events, event.TableRefused{Revision: revision, Findings: len(fs)})
