Test the table, settings, store, reader, relay, timer and events

Cause: the configuration path stood without a test. Change: specs with golden findings, fuzz targets for settings and table, a fake platform that is set back or down, and relays that are cut from each other. Conclusion: an invalid or older version never replaces the one in force.

--- /dev/null
+++ b/internal/document/decode_test.go
@@ -0,0 +1,111 @@
+package document_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/internal/document"
+	"lentilbend.example/internal/finding"
+)
+
+type inner struct {
+	Address netip.AddrPort
+	Wait    time.Duration `document:"optional"`
+}
+
+type outer struct {
+	Name  string
+	Count int
+	Rate  float64
+	On    bool
+	Inner inner   `document:"optional"`
+	List  []inner `document:"optional"`
+}
+
+// places returns "line:column field text" of each finding.
+func places(fs []finding.Finding) []string {
+	var ss []string
+	for _, f := range fs {
+		ss = append(ss, fmt.Sprintf("%d:%d %s %s", f.Place.Line, f.Place.Column, f.Place.Field, f.Text))
+	}
+	return ss
+}
+
+var _ = Describe("Decode", func() {
+	It("fills a struct", func() {
+		var o outer
+		_, fs := document.Decode("x", []byte(`Name = "a"
+Count = 3
+Rate = 2
+On = true
+Inner = {Address = "127.0.0.1:1", Wait = "2s"}
+[[List]]
+Address = "127.0.0.1:2"
+`), &o)
+		Expect(fs).To(BeEmpty())
+		Expect(o.Rate).To(Equal(2.0))
+		Expect(o.Inner.Wait).To(Equal(2 * time.Second))
+		Expect(o.List[0].Address.Port()).To(Equal(uint16(2)))
+	})
+
+	It("reports every fault of a document in one go, each with its place", func() {
+		var o outer
+		_, fs := document.Decode("x", []byte(`Name = 7
+Rate = nan
+Extra = 1
+On = "yes"
+Inner = {Address = "nowhere", Wait = 3}
+[[List]]
+Address = "127.0.0.1:2"
+[[List]]
+Adress = "127.0.0.1:2"
+`), &o)
+		Expect(places(fs)).To(ConsistOf(
+			"1:1 Count missing",
+			"1:1 Name must be a string, is a whole number",
+			"2:1 Rate must be a finite number",
+			"3:1 Extra unknown field",
+			"4:1 On must be a bool, is a string",
+			HavePrefix("5:10 Inner.Address "),
+			"5:31 Inner.Wait must be a duration such as \"250ms\", is a whole number",
+			"8:3 List[1].Address missing",
+			"9:1 List[1].Adress unknown field",
+		))
+	})
+
+	DescribeTable("refuses what is no document",
+		func(text string) {
+			var o outer
+			_, fs := document.Decode("x", []byte(text), &o)
+			Expect(fs).To(HaveLen(1))
+		},
+		Entry("bad UTF-8", "Name = \"\xff\""),
+		Entry("a syntax error", "Name = "),
+		Entry("a key given twice", "Name = \"a\"\nName = \"b\""),
+		Entry("too deep", "Name = "+strings.Repeat("[", 100)),
+		Entry("too long", strings.Repeat("#", document.MaxSize+1)),
+		Entry("a number out of range", "Count = 99999999999999999999999"),
+	)
+})
+
+func FuzzDecode(f *testing.F) {
+	f.Add("Name = \"a\"\nCount = 3\n[[List]]\nAddress = \"127.0.0.1:2\"\n")
+	f.Add("Inner = {Address = \"127.0.0.1:1\"}\nList = [{Wait = \"1s\"}, 3]")
+	f.Add("a.b.c = 1\n[a]\nd = [[1, {x = 2}], 3] # c")
+	f.Add("Rate = 1e400\nName = '''\n'''")
+	f.Fuzz(func(t *testing.T, text string) {
+		var o outer
+		_, fs := document.Decode("x", []byte(text), &o)
+		for _, p := range fs {
+			if p.Text == "" || p.Place.Value != "x" {
+				t.Fatalf("finding without text or place: %+v", p)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lentilbend/internal/platform/plan_test.go
@@ -0,0 +1,75 @@
+package platform_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/lentilbend/internal/platform"
+)
+
+// fleetBudget is a hundredth of the platform's 2,000 reads a second.
+const fleetBudget = 20
+
+func addresses(n int) []netip.AddrPort {
+	var as []netip.AddrPort
+	for i := range n {
+		as = append(as, netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7", i/250, i%250+1)))
+	}
+	return as
+}
+
+var _ = Describe("Plan", func() {
+	DescribeTable("lets three VMs watch and keeps the reads in the budget",
+		func(n int) {
+			as := addresses(n)
+			watching := 0
+			reads := 0.0
+			for _, a := range as {
+				p := platform.Plan{Self: a, Watchers: 3, PollEvery: 5 * time.Second, FleetReads: 10}
+				if p.Watches(as) {
+					watching++
+				}
+				reads += 1 / p.PollInterval(n).Seconds()
+			}
+			Expect(watching).To(Equal(min(n, 3)))
+			Expect(2 * reads).To(BeNumerically("<=", fleetBudget+1e-6))
+		},
+		Entry(nil, 1), Entry(nil, 2), Entry(nil, 16), Entry(nil, 64), Entry(nil, 500),
+	)
+
+	It("has a watcher on each side of a cut", func() {
+		as := addresses(16)
+		for _, side := range [][]netip.AddrPort{as[:5], as[5:]} {
+			n := 0
+			for _, a := range side {
+				p := platform.Plan{Self: a, Watchers: 3}
+				if p.Watches(side) {
+					n++
+				}
+			}
+			Expect(n).To(Equal(3))
+		}
+	})
+})
+
+var _ = Describe("Backoff", func() {
+	It("spreads the tries of a fleet after an outage", func() {
+		const vms, seconds = 64, 60
+		second := make([]int, seconds)
+		for i := range vms {
+			r := rand.New(rand.NewPCG(1, uint64(i)))
+			b := platform.Backoff{Least: 500 * time.Millisecond, Most: 8 * time.Second}
+			for t := time.Duration(0); t < seconds*time.Second; t += b.Next(r) {
+				second[int(t.Seconds())]++
+			}
+		}
+		for _, n := range second[10:] {
+			Expect(n).To(BeNumerically("<=", 2*fleetBudget))
+		}
+	})
+})
--- /dev/null
+++ b/lentilbend/internal/relay/relay_test.go
@@ -0,0 +1,144 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/internal/event"
+	"lentilbend.example/internal/peerpb"
+	"lentilbend.example/internal/platformpb"
+
+	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/relay"
+	"lentilbend.example/lentilbend/internal/store"
+)
+
+// network connects relays in one process and can cut pairs.
+type network struct {
+	mu     sync.Mutex
+	relays map[netip.AddrPort]*relay.Relay
+	cut    map[[2]netip.AddrPort]bool
+}
+
+// port is one VM's side of the network.
+type port struct {
+	network *network
+	self    netip.AddrPort
+}
+
+func (p port) reach(to netip.AddrPort) *relay.Relay {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	if p.network.cut[[2]netip.AddrPort{p.self, to}] {
+		return nil
+	}
+	return p.network.relays[to]
+}
+
+func (p port) Send(to netip.AddrPort, f *peerpb.Frame) bool {
+	r := p.reach(to)
+	if r == nil {
+		return false
+	}
+	go r.Receive(p.self, f.GetConfig())
+	return true
+}
+
+func (p port) Pull(_ context.Context, to netip.AddrPort, q *peerpb.PullRequest) (*peerpb.PullAnswer, error) {
+	r := p.reach(to)
+	if r == nil {
+		return nil, errors.New("cut")
+	}
+	return r.Answer(q), nil
+}
+
+// fleet starts n relays that reach each other.
+func fleet(n int) (*network, []*relay.Relay) {
+	w := &network{relays: map[netip.AddrPort]*relay.Relay{}, cut: map[[2]netip.AddrPort]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	var as []netip.AddrPort
+	var rs []*relay.Relay
+	for i := range n {
+		a := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7", i+1))
+		b := event.NewBus()
+		r := &relay.Relay{
+			Store:   &store.Store{Bus: b, Logger: log.NewNopLogger()},
+			List:    &platform.List{Bus: b},
+			Bus:     b,
+			Peers:   port{network: w, self: a},
+			Logger:  log.NewNopLogger(),
+			Members: func() []netip.AddrPort { return as },
+		}
+		as = append(as, a)
+		rs = append(rs, r)
+		w.relays[a] = r
+	}
+	for _, r := range rs {
+		go func() { _ = r.Run(ctx) }()
+	}
+	return w, rs
+}
+
+func edit(r *relay.Relay, revision uint64) {
+	since := r.Store.Newest()
+	r.Store.ApplyPlatform(since, &platformpb.ValuesAnswer{Revision: revision, Values: []*platformpb.Value{
+		{Name: "DataCentres", Revision: revision, Text: "DataCentre = []"},
+		{Name: "Routes", Revision: revision, Text: "Route = []"},
+		{Name: "Workspaces", Revision: revision, Text: fmt.Sprintf("Workspace = [] # %d", revision)},
+	}})
+}
+
+// lowest returns the lowest revision in force.
+func lowest(rs []*relay.Relay) func() uint64 {
+	return func() uint64 {
+		least := rs[0].Store.Accepted().Revision
+		for _, r := range rs {
+			least = min(least, r.Store.Accepted().Revision)
+		}
+		return least
+	}
+}
+
+var _ = Describe("Relay", func() {
+	It("brings an edit that one VM read to all, and the VM list too", func() {
+		_, rs := fleet(16)
+		edit(rs[3], 7)
+		rs[5].List.Apply(&platformpb.VmsAnswer{Revision: 9})
+		Eventually(lowest(rs), 30*time.Second).Should(Equal(uint64(7)))
+		for _, r := range rs {
+			Eventually(r.List.Revision, 30*time.Second).Should(Equal(uint64(9)))
+		}
+	})
+
+	It("reaches a VM that hears only one other VM", func() {
+		w, rs := fleet(4)
+		lone := netip.MustParseAddrPort("10.0.0.4:7")
+		w.mu.Lock()
+		for _, o := range []string{"10.0.0.1:7", "10.0.0.2:7"} {
+			a := netip.MustParseAddrPort(o)
+			w.cut[[2]netip.AddrPort{a, lone}] = true
+			w.cut[[2]netip.AddrPort{lone, a}] = true
+		}
+		w.mu.Unlock()
+		edit(rs[0], 2)
+		Eventually(lowest(rs), 30*time.Second).Should(Equal(uint64(2)))
+	})
+
+	It("does not bring an older version back", func() {
+		_, rs := fleet(3)
+		edit(rs[0], 5)
+		Eventually(lowest(rs), 30*time.Second).Should(Equal(uint64(5)))
+		edit(rs[1], 4)
+		rs[2].Receive(netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{Accepted: 4}})
+		Consistently(lowest(rs), 500*time.Millisecond).Should(Equal(uint64(5)))
+	})
+})
