--- /dev/null
+++ b/lentilbend/internal/peer/counters.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+)
+
+// counters count what all connections carried.
+type counters struct {
+	sentFrames, receivedFrames atomic.Uint64
+	sentBytes, receivedBytes   atomic.Uint64
+	refused                    atomic.Uint64
+}
+
+// Counters is what the hub sent and received since it began. Bytes are those
+// handed to TCP, with the framing of HTTP/2 and TLS.
+type Counters struct {
+	SentFrames     uint64
+	ReceivedFrames uint64
+	SentBytes      uint64
+	ReceivedBytes  uint64
+	// Refused counts calls of VMs that may not talk.
+	Refused uint64
+}
+
+// Counters returns the counts so far.
+func (h *Hub) Counters() Counters {
+	c := &h.counters
+	return Counters{
+		SentFrames:     c.sentFrames.Load(),
+		ReceivedFrames: c.receivedFrames.Load(),
+		SentBytes:      c.sentBytes.Load(),
+		ReceivedBytes:  c.receivedBytes.Load(),
+		Refused:        c.refused.Load(),
+	}
+}
+
+// Dump is the state of the hub.
+type Dump struct {
+	Self     string
+	Secure   bool
+	Counters Counters
+	Links    []LinkDump
+}
+
+// LinkDump is the state of the link to one peer.
+type LinkDump struct {
+	Address     netip.AddrPort
+	Connected   bool
+	Incarnation uint64
+	// Queued is how many messages wait.
+	Queued int
+	// Dials, Opened and Silent count dials from here, streams opened from
+	// either end, and streams replaced because they were silent.
+	Dials, Opened, Silent uint64
+}
+
+// Dump returns the state of all links.
+func (h *Hub) Dump() any {
+	d := Dump{Self: h.Self.String(), Secure: h.secure(), Counters: h.Counters()}
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, l := range h.links {
+		d.Links = append(d.Links, l.dump())
+	}
+	slices.SortFunc(d.Links, func(a, b LinkDump) int { return a.Address.Compare(b.Address) })
+	return d
+}
+
+func (l *link) dump() LinkDump {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := LinkDump{Address: l.address, Dials: l.dials, Opened: l.opened, Silent: l.silent}
+	if s := l.stream; s != nil {
+		s.mu.Lock()
+		d.Connected, d.Incarnation, d.Queued = true, s.from.Incarnation, s.queued
+		s.mu.Unlock()
+	}
+	return d
+}
+
+// countedListener counts the bytes of accepted connections.
+type countedListener struct {
+	net.Listener
+	counters *counters
+}
+
+// Accept waits for the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, counters: l.counters}, nil
+}
+
+// countedConn counts the bytes of one connection.
+type countedConn struct {
+	net.Conn
+	counters *counters
+}
+
+// Read reads from the connection.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counters.receivedBytes.Add(uint64(n))
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counters.sentBytes.Add(uint64(n))
+	return n, err
+}
