Serve only from a table that peers know no newer one of

Cause: a VM that started beside a stale platform would serve an older table, with keys withdrawn since.

--- a/lentilbend/internal/caller/handler.go
+++ b/lentilbend/internal/caller/handler.go
@@ -5,14 +5,16 @@
 	"net/http"
 	"time"
 
+	"lentilbend.example/internal/table"
+
 	"lentilbend.example/lentilbend/internal/exchange"
-	"lentilbend.example/lentilbend/internal/store"
 )
 
 // Handler starts an exchange for each request. Set the exported fields before
 // use.
 type Handler struct {
-	Store *store.Store
+	// Table returns the table to go by, or nil while there is none.
+	Table func() *table.Table
 	// Next is the row of filters.
 	Next exchange.Handler
 }
@@ -23,7 +25,7 @@
 		Writer:   w,
 		Request:  r,
 		Received: time.Now(),
-		Table:    h.Store.Table(),
+		Table:    h.Table(),
 	}
 	if x.Table == nil {
 		x.Refuse(exchange.Refusal{
--- a/lentilbend/internal/peer/accept.go
+++ b/lentilbend/internal/peer/accept.go
@@ -33,7 +33,6 @@
 		grpc.Creds(h.credentials),
 		grpc.InitialWindowSize(window),
 		grpc.InitialConnWindowSize(window),
-		grpc.SharedWriteBuffer(true),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ConnectionTimeout(h.Times.Dial))
 	peerpb.RegisterPeerServer(s, &service{hub: h})
--- a/lentilbend/internal/peer/dial.go
+++ b/lentilbend/internal/peer/dial.go
@@ -32,7 +32,6 @@
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithInitialWindowSize(window),
 		grpc.WithInitialConnWindowSize(window),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
 }
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -125,17 +125,21 @@
 	}
 }
 
-// Heard returns how many of the members have announced their version.
-func (r *Relay) Heard(members []netip.AddrPort) int {
+// CaughtUp tells whether a member that answers has announced its version and
+// none is known to have a newer one.
+func (r *Relay) CaughtUp() bool {
+	return r.heardAny(r.Members()) && len(r.ahead()) == 0
+}
+
+func (r *Relay) heardAny(members []netip.AddrPort) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 0
 	for _, m := range members {
 		if _, ok := r.heard[m]; ok {
-			n++
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 func (r *Relay) announce(to netip.AddrPort) {
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -56,6 +56,9 @@
 	registry *prometheus.Registry
 	parts    map[string]operator.Dumper
 	stopping atomic.Bool
+
+	started     time.Time
+	settledOnce atomic.Bool
 }
 
 // Run serves until SIGTERM or SIGINT and a planned stop, or until a part
@@ -97,6 +100,7 @@
 		return fmt.Errorf("serve: %w", err)
 	}
 	p.logger = p.root.Part("serve")
+	p.started = time.Now()
 	p.bus = event.NewBus()
 	p.timer = &timer.Service{Bus: p.bus, Resolution: tickResolution, PauseAfter: pauseAfter}
 	p.registry = prometheus.NewRegistry()
@@ -106,7 +110,7 @@
 	p.caller = &caller.Server{
 		Settings: s.Caller,
 		Sizes:    s.Limits,
-		Handler:  &caller.Handler{Store: p.store, Next: p.filters()},
+		Handler:  &caller.Handler{Table: p.table, Next: p.filters()},
 	}
 	p.operator = &operator.Server{
 		Settings: s.Operator,
@@ -128,8 +132,8 @@
 	if p.stopping.Load() {
 		return errors.New("a planned stop has begun")
 	}
-	if p.store.Table() == nil {
-		return errors.New("no table is known yet")
+	if !p.settled() {
+		return errors.New("no table that is known to be the newest")
 	}
 	return nil
 }
