--- a/standin/internal/backend/mode.go
+++ b/standin/internal/backend/mode.go
@@ -132,7 +132,7 @@
 	case Normal:
 		*t = modes{}
 	case Cold:
-		t.cold = &coldStart{rate: m.Rate, burst: m.Burst, tokens: m.Burst, last: now, until: now.Add(m.For)}
+		t.cold = &coldStart{rate: m.Rate, burst: m.Burst, tokens: m.Burst, last: now, begin: now, until: now.Add(m.For)}
 	case Drain:
 		t.drain, t.drainAt = true, now
 	case Shed:
--- a/standin/internal/backend/record.go
+++ b/standin/internal/backend/record.go
@@ -8,7 +8,10 @@
 
 // Execution is one request that a backend server started to work on.
 type Execution struct {
-	ID         string
+	ID string
+	// Workspace is what the request's header of that name says; empty when it
+	// has none.
+	Workspace  string
 	Server     netip.AddrPort
 	Attempt    int
 	Start, End time.Time
--- a/standin/internal/backend/state.go
+++ b/standin/internal/backend/state.go
@@ -19,6 +19,9 @@
 	// those of them that came beyond the rate and burst that the server bears.
 	ColdArrived uint64
 	ColdBeyond  uint64
+	// ColdOverrun are those of ColdBeyond that came after the first two
+	// seconds, when the cold start could be known everywhere.
+	ColdOverrun uint64
 	// DrainArrived are the requests that came while draining, and LastDrain
 	// is how long after its begin the last of them came.
 	DrainArrived uint64
@@ -29,6 +32,9 @@
 	Queued             int
 }
 
+// coldKnown is when a cold start counts as known to all.
+const coldKnown = 2 * time.Second
+
 // modes is what is wrong with a server.
 type modes struct {
 	cold     *coldStart
@@ -52,6 +58,7 @@
 	rate, burst float64
 	tokens      float64
 	last        time.Time
+	begin       time.Time
 	until       time.Time
 }
 
@@ -85,6 +92,9 @@
 		t.counts.ColdArrived++
 		if !c.take(now) {
 			t.counts.ColdBeyond++
+			if now.Sub(c.begin) > coldKnown {
+				t.counts.ColdOverrun++
+			}
 		}
 	}
 	if t.modes.drain {
--- a/standin/internal/backend/work.go
+++ b/standin/internal/backend/work.go
@@ -25,6 +25,8 @@
 	SizeHeader = "Answer-Size"
 	// attemptHeader is set by an entry VM.
 	attemptHeader = "Request-Attempt"
+	// workspaceHeader may be set by an entry VM.
+	workspaceHeader = "Workspace"
 )
 
 // maxAnswerSize bounds what SizeHeader may ask for, in bytes.
@@ -42,11 +44,12 @@
 // run works on the request and answers.
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, m modes) {
 	e := Execution{
-		ID:      r.Header.Get(IDHeader),
-		Server:  s.Address,
-		Attempt: attempt(r),
-		Start:   time.Now(),
-		KeySeen: s.keySeen(r),
+		ID:        r.Header.Get(IDHeader),
+		Workspace: r.Header.Get(workspaceHeader),
+		Server:    s.Address,
+		Attempt:   attempt(r),
+		Start:     time.Now(),
+		KeySeen:   s.keySeen(r),
 	}
 	defer func() { s.record(e) }()
 	h := fnv.New64a()
--- a/standin/internal/fleet/table.go
+++ b/standin/internal/fleet/table.go
@@ -29,8 +29,9 @@
 	if len(cs) == 0 {
 		return f.Platform.Revision()
 	}
+	b := time.Now()
 	r := f.Platform.Edit(cs...)
-	f.Recorder.Event(history.Edited{Revision: r, At: time.Now()})
+	f.Recorder.Event(history.Edited{Revision: r, Start: b, At: time.Now()})
 	return r
 }
 
--- a/standin/internal/history/history.go
+++ b/standin/internal/history/history.go
@@ -109,7 +109,8 @@
 // Edited is an edit of the table that is valid.
 type Edited struct {
 	Revision uint64
-	At       time.Time
+	// Start is before the edit and At after it.
+	Start, At time.Time
 }
 
 // Seen is the revision in force at one VM, as it told between two times.
--- a/standin/internal/measure/latency.go
+++ b/standin/internal/measure/latency.go
@@ -143,11 +143,12 @@
 // warmUp opens connections and lets the runtime settle.
 func warmUp(ctx context.Context, gs ...*load.Generator) error {
 	for _, g := range gs {
-		w := *g
-		w.For = time.Second
-		if _, err := w.Run(ctx); err != nil {
+		part := g.For
+		g.For = time.Second
+		if _, err := g.Run(ctx); err != nil {
 			return err
 		}
+		g.For = part
 	}
 	return nil
 }
