--- /dev/null
+++ b/internal/member/receive.go
@@ -0,0 +1,227 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"lentilbend.example/internal/peerpb"
+)
+
+// Receive takes a message of another VM, and returns the answers.
+func (n *Node) Receive(now time.Time, from ID, m *peerpb.MemberMessage) []Send {
+	n.begin(now)
+	n.settle(now)
+	if from.Address == n.Self.Address {
+		return nil
+	}
+	p := n.know(now, from)
+	if p == nil {
+		return nil
+	}
+	p.heard, p.absent = now, time.Time{}
+	if m.GetRelease() {
+		n.release(now, p, m)
+		n.settle(now)
+		return n.due(now)
+	}
+	n.take(now, p, m)
+	var ss []Send
+	if m.GetRequest() > 0 {
+		ss = append(ss, n.grant(now, p, m))
+	}
+	n.settle(now)
+	return append(ss, n.due(now)...)
+}
+
+// know returns the entry of a process, or nil when a later process runs at its
+// address or it has ended.
+func (n *Node) know(now time.Time, id ID) *peer {
+	if _, ok := n.gone[id]; ok || id.Incarnation == 0 {
+		return nil
+	}
+	p := n.peers[id.Address]
+	if p == nil {
+		p = &peer{id: id, known: now}
+		n.peers[id.Address] = p
+		return p
+	}
+	if id.Incarnation < p.id.Incarnation {
+		return nil
+	}
+	if id.Incarnation > p.id.Incarnation {
+		p = n.replace(now, p, id)
+	}
+	return p
+}
+
+// replace puts a later process in the place of the one before, which has
+// ended because an address belongs to one process.
+func (n *Node) replace(now time.Time, p *peer, id ID) *peer {
+	o := &peer{id: id, known: now, centre: p.centre, leaving: p.leaving, derived: p.derived}
+	n.peers[id.Address] = o
+	if p.id.Incarnation == 0 {
+		return o
+	}
+	if p.counted || p.derived {
+		n.haunt(p.id, n.runningEnd(now, p))
+	}
+	if p.counted {
+		n.count(now, o)
+	}
+	n.bury(now, p.id)
+	return o
+}
+
+// runningEnd returns when the last request of an ended process ends.
+func (n *Node) runningEnd(now time.Time, p *peer) time.Time {
+	if !p.runningUntil.IsZero() {
+		return p.runningUntil
+	}
+	return now.Add(n.longer(n.RunningMax))
+}
+
+func (n *Node) haunt(id ID, until time.Time) {
+	if until.After(n.ghosts[id]) {
+		n.ghosts[id] = until
+	}
+}
+
+// bury remembers that a process ended, so that late messages do not bring it
+// back.
+func (n *Node) bury(now time.Time, id ID) {
+	n.gone[id] = now.Add(n.longer(n.Promise) + n.Outage)
+}
+
+// count begins to count a VM.
+func (n *Node) count(now time.Time, p *peer) {
+	if p.counted {
+		return
+	}
+	p.counted = true
+	p.needless = now.Add(n.shorter(n.Promise) / 4)
+	if n.used.IsZero() {
+		return
+	}
+	p.loanFree = now.Add(n.longer(n.LoanMax))
+	p.runningFree = p.loanFree
+	if n.RunningUntil == nil {
+		return
+	}
+	if t := n.RunningUntil(now); t.After(p.runningFree) {
+		p.runningFree = now.Add(n.longer(t.Sub(now)))
+	}
+}
+
+// release notes that a VM gives up its share.
+func (n *Node) release(now time.Time, p *peer, m *peerpb.MemberMessage) {
+	p.leaving = true
+	if !p.dropAt.IsZero() {
+		return
+	}
+	p.dropAt = now.Add(n.longer(milliseconds(m.GetWait())))
+	p.runningUntil = now.Add(n.longer(milliseconds(m.GetRunningWait())))
+}
+
+// merge takes in the sender's view, which goes with a promise.
+func (n *Node) merge(now time.Time, p *peer, m *peerpb.MemberMessage) {
+	p.view = p.view[:0]
+	p.seen = m.GetDigest()
+	for _, e := range m.GetView() {
+		id, ok := decode(e)
+		if !ok {
+			continue
+		}
+		if id.Address == n.Self.Address {
+			n.outrun = max(n.outrun, id.Incarnation)
+			continue
+		}
+		if e.GetRunningOnly() == 0 {
+			p.view = append(p.view, id)
+			continue
+		}
+		if !n.standing {
+			n.haunt(id, now.Add(n.longer(milliseconds(e.GetRunningOnly()))))
+		}
+	}
+	n.introduce(now, p.view)
+}
+
+// introduce makes the processes of a view known, so that they are asked.
+func (n *Node) introduce(now time.Time, ids []ID) {
+	for _, id := range ids {
+		if id.Incarnation > 0 {
+			n.know(now, id)
+			continue
+		}
+		if n.peers[id.Address] == nil {
+			n.peers[id.Address] = &peer{id: id, known: now}
+		}
+	}
+}
+
+// take takes in a promise. It counts only if the sender's view at that time is
+// known here.
+func (n *Node) take(now time.Time, p *peer, m *peerpb.MemberMessage) {
+	i := slices.IndexFunc(p.pending, func(r request) bool { return r.sequence == m.GetGrant() })
+	if i < 0 {
+		return
+	}
+	r := p.pending[i]
+	switch {
+	case m.GetHasView():
+		n.merge(now, p, m)
+	case m.GetDigest() == p.seen:
+	case m.GetDigest() == r.digest && r.digest == n.digest:
+		p.view = n.others(p.id)
+		p.seen = r.digest
+	default:
+		p.next = now
+		return
+	}
+	p.pending = p.pending[i+1:]
+	p.standing = m.GetStanding()
+	p.useFrom = now.Add(n.longer(milliseconds(m.GetWait())))
+	p.runningFrom = now.Add(n.longer(milliseconds(m.GetRunningWait())))
+	if t := r.sent.Add(n.shorter(n.Promise)); t.After(p.held) {
+		p.held = t
+	}
+}
+
+// grant counts the sender and promises to go on doing so.
+func (n *Node) grant(now time.Time, p *peer, m *peerpb.MemberMessage) Send {
+	if n.leaving {
+		return n.farewell(now, p)
+	}
+	n.count(now, p)
+	p.granted = now.Add(n.longer(n.Promise))
+	n.settle(now)
+	o := &peerpb.MemberMessage{
+		Grant:       m.GetRequest(),
+		Digest:      n.digest,
+		Standing:    n.standing,
+		Wait:        until(now, p.loanFree),
+		RunningWait: until(now, p.runningFree),
+	}
+	if m.GetDigest() != n.digest && m.GetSeen() != n.digest {
+		o.HasView = true
+		o.View = n.view(now, p.id)
+	}
+	if p.next.Sub(now) < n.Promise/6 {
+		n.ask(now, p, o)
+	}
+	return Send{To: p.id, Message: o}
+}
+
+// farewell tells that the own share is released.
+func (n *Node) farewell(now time.Time, p *peer) Send {
+	p.next = now.Add(retry)
+	o := &peerpb.MemberMessage{
+		Release: true,
+		Wait:    until(now, n.released.Add(n.longer(n.LoanMax))),
+	}
+	o.RunningWait = o.Wait
+	if n.RunningUntil != nil {
+		o.RunningWait = max(o.Wait, until(now, n.RunningUntil(now)))
+	}
+	return Send{To: p.id, Message: o}
+}
--- /dev/null
+++ b/internal/member/settle.go
@@ -0,0 +1,319 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// settle ends what has run out by now, and works out the standing and the
+// share.
+func (n *Node) settle(now time.Time) {
+	n.last = now
+	if n.standing && !now.Before(n.until) {
+		n.lose(now)
+	}
+	n.expire(now)
+	n.forget(now)
+	if !n.standing {
+		n.derive(now)
+	}
+	n.digest = n.hash()
+	n.stand(now)
+	n.update(now)
+}
+
+// expire drops released VMs, VMs that only were candidates, and what was kept
+// about ended processes.
+func (n *Node) expire(now time.Time) {
+	for a, p := range n.peers {
+		switch {
+		case !p.dropAt.IsZero() && !now.Before(p.dropAt):
+			n.drop(now, p)
+		case !p.counted && !p.derived && n.idle(now, p):
+			delete(n.peers, a)
+		}
+	}
+	for id, t := range n.ghosts {
+		if !now.Before(t) {
+			delete(n.ghosts, id)
+		}
+	}
+	for id, t := range n.gone {
+		if !now.Before(t) {
+			delete(n.gone, id)
+		}
+	}
+}
+
+// idle tells whether a VM that is not counted can be left out of what is known.
+func (n *Node) idle(now time.Time, p *peer) bool {
+	if _, ok := n.list.vms[p.id.Address]; ok {
+		return false
+	}
+	return now.Sub(p.known) > 3*n.Promise && now.Sub(p.heard) > 3*n.Promise
+}
+
+// drop ends counting a VM. Its running requests still count until they end.
+func (n *Node) drop(now time.Time, p *peer) {
+	if p.counted || p.derived {
+		n.haunt(p.id, n.runningEnd(now, p))
+	}
+	n.bury(now, p.id)
+	delete(n.peers, p.id.Address)
+}
+
+// forget ends counting VMs that the platform's list has not shown for long
+// enough and whose promise has ended.
+func (n *Node) forget(now time.Time) {
+	for _, p := range n.peers {
+		if p.counted && n.forgettable(now, p) {
+			n.forgot = n.forgot || !n.standing
+			n.haunt(p.id, now.Add(n.longer(n.RunningMax)))
+			delete(n.peers, p.id.Address)
+		}
+	}
+}
+
+func (n *Node) forgettable(now time.Time, p *peer) bool {
+	if now.Before(p.granted.Add(n.longer(n.LoanMax))) {
+		return false
+	}
+	if p.absent.IsZero() || now.Sub(n.list.sent) > n.Promise {
+		return false
+	}
+	e := n.evidence()
+	if !n.majority(now) {
+		e += n.longer(n.Outage)
+	}
+	return n.list.sent.Sub(p.absent) >= e
+}
+
+// evidence is how long own reads must have shown no trace of a VM: so long that
+// the VM's own reads must have shown that too, and its use must have ended.
+func (n *Node) evidence() time.Duration {
+	return n.longer(2*n.ListAge + n.Promise)
+}
+
+// counts returns the VMs counted besides this one, in no order.
+func (n *Node) counts() []*peer {
+	ps := make([]*peer, 0, len(n.peers))
+	for _, p := range n.peers {
+		if p.counted || p.derived {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+// majority tells whether more than half of the counted VMs, or half with the
+// lowest address, have a running promise here.
+func (n *Node) majority(now time.Time) bool {
+	return now.Before(n.majorityUntil(now))
+}
+
+// majorityUntil returns until when a majority's promises run, if none is
+// renewed.
+func (n *Node) majorityUntil(now time.Time) time.Time {
+	ps := n.counts()
+	low, lowHeld := n.Self, time.Time{}
+	ts := make([]time.Time, 0, len(ps))
+	for _, p := range ps {
+		ts = append(ts, p.held)
+		if p.id.Compare(low) < 0 {
+			low, lowHeld = p.id, p.held
+		}
+	}
+	slices.SortFunc(ts, func(a, b time.Time) int { return b.Compare(a) })
+	far := now.Add(n.shorter(n.Promise))
+	total := len(ps) + 1
+	t := far
+	if k := total / 2; k > 0 {
+		t = ts[k-1]
+	}
+	if total%2 == 1 {
+		return t
+	}
+	h := far
+	if k := total/2 - 1; k > 0 {
+		h = ts[k-1]
+	}
+	if low != n.Self && lowHeld.Before(h) {
+		h = lowHeld
+	}
+	if h.After(t) {
+		return h
+	}
+	return t
+}
+
+// derive counts, beside the VMs that asked this one, those that the VMs with
+// standing count; or, where none with standing answers, all that anybody names.
+func (n *Node) derive(now time.Time) {
+	s := n.sponsored(now)
+	for _, p := range n.peers {
+		p.derived = false
+	}
+	for _, p := range n.peers {
+		if !now.Before(p.held) || s && !p.standing {
+			continue
+		}
+		p.derived = true
+		for _, id := range p.view {
+			n.mark(id)
+		}
+	}
+	if s {
+		return
+	}
+	for a := range n.list.vms {
+		n.mark(ID{Address: a})
+	}
+}
+
+// sponsored tells whether a VM with standing promises to count this one.
+func (n *Node) sponsored(now time.Time) bool {
+	for _, p := range n.peers {
+		if p.standing && now.Before(p.held) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) mark(id ID) {
+	if _, ok := n.gone[id]; ok {
+		return
+	}
+	p := n.peers[id.Address]
+	if p == nil || id.Incarnation > 0 && id.Incarnation < p.id.Incarnation {
+		return
+	}
+	p.derived = true
+}
+
+// stand works out the standing and until when it is sure.
+func (n *Node) stand(now time.Time) {
+	if n.leaving {
+		n.lose(now)
+		return
+	}
+	promised := n.promisedUntil(now)
+	if n.standing {
+		n.until = latest(promised, n.keepUntil(now))
+		if !now.Before(n.until) {
+			n.lose(now)
+		}
+		return
+	}
+	if !now.Before(promised) || !(n.sponsored(now) || n.founding(now) || n.unchanged(now)) {
+		return
+	}
+	n.standing, n.stood, n.until = true, true, promised
+	for _, p := range n.peers {
+		if p.derived {
+			n.count(now, p)
+		}
+	}
+}
+
+// promisedUntil returns until when every counted VM's promise runs.
+func (n *Node) promisedUntil(now time.Time) time.Time {
+	t := now.Add(n.shorter(n.Promise))
+	for _, p := range n.counts() {
+		h := latest(p.held, p.needless)
+		if !n.standing {
+			h = p.held
+		}
+		if h.Before(t) {
+			t = h
+		}
+	}
+	return t
+}
+
+// keepUntil returns until when the standing lasts without the promises of VMs
+// that do not answer: while an own read shows this VM, or, without a readable
+// list, while most VMs answer.
+func (n *Node) keepUntil(now time.Time) time.Time {
+	read := !n.list.sent.IsZero()
+	if read && !n.list.self {
+		return time.Time{}
+	}
+	var t time.Time
+	last := n.started
+	if read {
+		last = n.list.sent
+		if n.ListAge > 0 {
+			t = last.Add(n.shorter(n.Promise))
+		}
+	}
+	if now.Sub(last) < n.Promise/2 {
+		return t
+	}
+	m := n.majorityUntil(now)
+	if e := last.Add(n.shorter(n.Outage)); e.Before(m) {
+		m = e
+	}
+	return latest(t, m)
+}
+
+// founding tells whether this VM may get standing without a VM that has it: an
+// own read shows this VM, and all others in it promise.
+func (n *Node) founding(now time.Time) bool {
+	if !n.list.self || !n.list.sent.After(n.lostAt) || now.Sub(n.list.sent) > n.Promise {
+		return false
+	}
+	for a := range n.list.vms {
+		if a == n.Self.Address {
+			continue
+		}
+		if p := n.peers[a]; p == nil || !now.Before(p.held) {
+			return false
+		}
+	}
+	return true
+}
+
+// unchanged tells whether, without a readable list, all VMs that were counted
+// when the standing was lost promise again.
+func (n *Node) unchanged(now time.Time) bool {
+	if !n.stood || n.forgot || n.list.sent.After(n.lostAt) {
+		return false
+	}
+	for _, p := range n.peers {
+		if p.counted {
+			return true
+		}
+	}
+	return false
+}
+
+// update works out the share.
+func (n *Node) update(now time.Time) {
+	c := len(n.counts()) + 1
+	s := Share{Count: c, RunningCount: c + len(n.ghosts), Epoch: n.share.Epoch}
+	if s.Count != n.share.Count || s.RunningCount != n.share.RunningCount {
+		s.Epoch++
+	}
+	use, running := time.Time{}, time.Time{}
+	for _, p := range n.counts() {
+		use = latest(use, p.useFrom)
+		running = latest(running, p.runningFrom)
+	}
+	s.Usable = n.standing && !now.Before(use)
+	s.RunningUsable = n.standing && !now.Before(running)
+	if n.standing {
+		s.Until = n.until
+	}
+	if s.Usable || s.RunningUsable {
+		n.used = now
+	}
+	n.share = s
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/lentilbend/internal/peer/accept.go
+++ b/lentilbend/internal/peer/accept.go
@@ -195,4 +195,3 @@
 		s.cancel()
 	}
 }
-
