--- a/lentilbend/internal/peer/accept.go
+++ b/lentilbend/internal/peer/accept.go
@@ -33,7 +33,6 @@
 		grpc.Creds(h.credentials),
 		grpc.InitialWindowSize(window),
 		grpc.InitialConnWindowSize(window),
-		grpc.SharedWriteBuffer(true),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ConnectionTimeout(h.Times.Dial))
 	peerpb.RegisterPeerServer(s, &service{hub: h})
@@ -48,7 +47,7 @@
 	if s.hub.Answer == nil {
 		return nil, status.Error(codes.Unavailable, "no values")
 	}
-	return s.hub.Answer(r.GetSince()), nil
+	return s.hub.Answer(r), nil
 }
 
 // Exchange runs a stream that a peer opened.
--- a/lentilbend/internal/peer/hub.go
+++ b/lentilbend/internal/peer/hub.go
@@ -48,7 +48,7 @@
 	// only check. Nil allows every IP.
 	Allowed func(netip.Addr) bool
 	// Answer answers pulls of peers; nil answers nothing.
-	Answer func(since uint64) *peerpb.PullAnswer
+	Answer func(q *peerpb.PullRequest) *peerpb.PullAnswer
 	// Times replaces DefaultTimes.
 	Times Times
 	// Dial replaces a TCP dial, for tests.
@@ -171,13 +171,13 @@
 	return as
 }
 
-// Pull asks a peer for the accepted values newer than since.
-func (h *Hub) Pull(ctx context.Context, to netip.AddrPort, since uint64) (*peerpb.PullAnswer, error) {
+// Pull asks a peer for what it has newer than the request says.
+func (h *Hub) Pull(ctx context.Context, to netip.AddrPort, q *peerpb.PullRequest) (*peerpb.PullAnswer, error) {
 	c, err := h.client(to)
 	if err != nil {
 		return nil, fmt.Errorf("peer: pull from %s: %w", to, err)
 	}
-	a, err := peerpb.NewPeerClient(c).Pull(ctx, &peerpb.PullRequest{Since: since})
+	a, err := peerpb.NewPeerClient(c).Pull(ctx, q)
 	if err != nil {
 		h.drop(to, c)
 		return nil, fmt.Errorf("peer: pull from %s: %w", to, err)
