Wire membership and peer streams into the process

Own list reads go to the membership, lists that peers relayed only name VMs to ask. The hub now carries the relay's announcements and pulls.

--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -62,3 +63,47 @@
 	}
 	p.centre, p.leaving = v.DataCentre, p.leaving || v.Leaving
 }
+
+// Seed makes addresses known, so that they are asked. They are not counted
+// until they ask or another VM counts them.
+func (n *Node) Seed(now time.Time, as []netip.AddrPort) []Send {
+	n.begin(now)
+	for _, a := range as {
+		p := n.peers[a]
+		switch {
+		case a == n.Self.Address:
+		case p == nil:
+			n.peers[a] = &peer{id: ID{Address: a}, known: now}
+		default:
+			p.known = now
+		}
+	}
+	n.settle(now)
+	return n.due(now)
+}
+
+// Meet tells that a stream to a process opened, so that it is asked at once.
+func (n *Node) Meet(now time.Time, id ID, centre string) []Send {
+	n.begin(now)
+	n.settle(now)
+	if id.Address == n.Self.Address {
+		return nil
+	}
+	p := n.know(now, id)
+	if p == nil {
+		return nil
+	}
+	p.centre, p.next, p.heard = centre, now, now
+	n.settle(now)
+	return n.due(now)
+}
+
+// Addresses returns the addresses of all VMs known besides this one, in order.
+func (n *Node) Addresses() []netip.AddrPort {
+	as := make([]netip.AddrPort, 0, len(n.peers))
+	for a := range n.peers {
+		as = append(as, a)
+	}
+	slices.SortFunc(as, netip.AddrPort.Compare)
+	return as
+}
--- /dev/null
+++ b/lentilbend/internal/fleet/fleet.go
@@ -0,0 +1,213 @@
+// Package fleet runs the membership of this VM: it feeds member.Node with
+// ticks, pauses, list reads and messages, and sends what it returns.
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"lentilbend.example/internal/event"
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/peerpb"
+)
+
+// jump is how far the wall clock may move against the monotonic clock before
+// that counts as a pause.
+const jump = 500 * time.Millisecond
+
+// seedEvery is the time between looks at the seeds and at whom to stay
+// connected to.
+const seedEvery = time.Second
+
+// Transport carries frames to other VMs.
+type Transport interface {
+	Peers(now time.Time, to []netip.AddrPort)
+	Send(to netip.AddrPort, f *peerpb.Frame) bool
+}
+
+// Fleet is this VM's membership. Set the exported fields before Run.
+type Fleet struct {
+	Node      *member.Node
+	Transport Transport
+	Bus       *event.Bus
+	Logger    log.Logger
+	// Seeds returns addresses to ask besides those of own list reads; nil
+	// gives none.
+	Seeds func() []netip.AddrPort
+
+	mu     sync.Mutex
+	state  atomic.Pointer[state]
+	seeded time.Time
+	to     []netip.AddrPort
+	pauses atomic.Uint64
+	losses atomic.Uint64
+}
+
+// state is what the request path reads without a lock.
+type state struct {
+	share   member.Share
+	members []member.Member
+	allowed map[netip.Addr]bool
+	at      time.Time
+}
+
+// Run subscribes to ticks, pauses and the planned stop until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	f.do(time.Now(), f.Node.Tick)
+	if err := event.Subscribe(ctx, f.Bus, func(event.Tick) { f.tick(time.Now()) }); err != nil {
+		return err
+	}
+	if err := event.Subscribe(ctx, f.Bus, func(event.Pause) { f.pause(time.Now()) }); err != nil {
+		return err
+	}
+	if err := event.Subscribe(ctx, f.Bus, func(event.Stopping) { f.do(time.Now(), f.Node.Leave) }); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (f *Fleet) tick(now time.Time) {
+	if f.jumped(now) {
+		f.pause(now)
+	}
+	f.do(now, f.Node.Tick)
+	if now.Sub(f.seeded) < seedEvery {
+		return
+	}
+	f.seeded = now
+	if f.Seeds != nil {
+		f.do(now, func(now time.Time) []member.Send { return f.Node.Seed(now, f.Seeds()) })
+	}
+}
+
+func (f *Fleet) pause(now time.Time) {
+	f.pauses.Add(1)
+	_ = level.Warn(f.Logger).Log("msg", "Process was paused, promises are asked for again.")
+	f.do(now, func(now time.Time) []member.Send {
+		f.Node.Pause(now)
+		return f.Node.Tick(now)
+	})
+}
+
+// jumped tells whether the wall clock moved against the monotonic clock since
+// the last change, as it does while a VM is suspended.
+func (f *Fleet) jumped(now time.Time) bool {
+	s := f.state.Load()
+	if s == nil {
+		return false
+	}
+	d := now.Round(0).Sub(s.at.Round(0)) - now.Sub(s.at)
+	return d.Abs() >= jump
+}
+
+// Handle takes the membership messages of a frame.
+func (f *Fleet) Handle(now time.Time, from member.ID, m *peerpb.Frame) {
+	if h := m.GetHello(); h != nil {
+		f.do(now, func(now time.Time) []member.Send { return f.Node.Meet(now, from, h.GetDataCentre()) })
+	}
+	for _, x := range m.GetMember() {
+		f.do(now, func(now time.Time) []member.Send { return f.Node.Receive(now, from, x) })
+	}
+}
+
+// List takes an own read of the platform's list, sent at sent.
+func (f *Fleet) List(sent time.Time, revision uint64, vms []member.Vm) {
+	f.do(time.Now(), func(now time.Time) []member.Send { return f.Node.List(now, sent, revision, vms) })
+}
+
+// do runs one step of the node and sends what it returns.
+func (f *Fleet) do(now time.Time, step func(time.Time) []member.Send) {
+	f.mu.Lock()
+	ss := step(now)
+	f.publish(now)
+	to := f.Node.Addresses()
+	changed := !slices.Equal(to, f.to)
+	if changed {
+		f.to = to
+		f.Transport.Peers(now, to)
+	}
+	f.mu.Unlock()
+	for _, s := range ss {
+		f.Transport.Send(s.To.Address, &peerpb.Frame{Member: []*peerpb.MemberMessage{s.Message}})
+	}
+}
+
+// publish stores the node's state for the request path; mu is held.
+func (f *Fleet) publish(now time.Time) {
+	s := &state{share: f.Node.Share(now), members: f.Node.Members(), allowed: map[netip.Addr]bool{}, at: now}
+	for _, a := range f.Node.Addresses() {
+		s.allowed[a.Addr().Unmap()] = true
+	}
+	if o := f.state.Swap(s); o != nil {
+		f.report(o.share, s.share)
+	}
+}
+
+func (f *Fleet) report(o, s member.Share) {
+	if o.Usable && !s.Usable {
+		f.losses.Add(1)
+	}
+	if o.Usable == s.Usable && o.RunningUsable == s.RunningUsable && o.Epoch == s.Epoch {
+		return
+	}
+	_ = level.Info(f.Logger).Log("msg", "Share changed.", "count", s.Count, "running", s.RunningCount,
+		"usable", s.Usable, "runningUsable", s.RunningUsable)
+}
+
+// Share returns the own share. It may be called for every request.
+func (f *Fleet) Share(now time.Time) member.Share {
+	s := f.state.Load()
+	if s == nil {
+		return member.Share{Count: 1, RunningCount: 1}
+	}
+	if f.jumped(now) {
+		f.pause(now)
+		s = f.state.Load()
+	}
+	h := s.share
+	if !now.Before(h.Until) {
+		h.Usable, h.RunningUsable = false, false
+	}
+	return h
+}
+
+// Members returns this VM and those that it counts, in the order of addresses.
+// Callers must not change it.
+func (f *Fleet) Members() []member.Member {
+	if s := f.state.Load(); s != nil {
+		return s.members
+	}
+	return nil
+}
+
+// Answering returns the addresses of the other VMs that answer, in order.
+func (f *Fleet) Answering() []netip.AddrPort {
+	var as []netip.AddrPort
+	for _, m := range f.Members() {
+		if m.Answering && m.ID != f.Node.Self {
+			as = append(as, m.ID.Address)
+		}
+	}
+	return as
+}
+
+// Allowed tells whether a VM at this IP is in the list or counted.
+func (f *Fleet) Allowed(ip netip.Addr) bool {
+	s := f.state.Load()
+	return s != nil && s.allowed[ip]
+}
+
+// Dump returns the state of the membership.
+func (f *Fleet) Dump() any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Node.Dump()
+}
--- a/lentilbend/internal/peer/accept.go
+++ b/lentilbend/internal/peer/accept.go
@@ -187,6 +187,7 @@
 		if s == nil || !s.check(now, h.Times) {
 			continue
 		}
+		h.counters.silent.Add(1)
 		l.mu.Lock()
 		l.silent++
 		l.mu.Unlock()
--- a/lentilbend/internal/peer/counters.go
+++ b/lentilbend/internal/peer/counters.go
@@ -5,13 +5,15 @@
 	"net/netip"
 	"slices"
 	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // counters count what all connections carried.
 type counters struct {
 	sentFrames, receivedFrames atomic.Uint64
 	sentBytes, receivedBytes   atomic.Uint64
-	refused                    atomic.Uint64
+	refused, silent            atomic.Uint64
 }
 
 // Counters is what the hub sent and received since it began. Bytes are those
@@ -115,3 +117,20 @@
 	c.counters.sentBytes.Add(uint64(n))
 	return n, err
 }
+
+// Register adds the hub's metrics.
+func (h *Hub) Register(r prometheus.Registerer) {
+	c := func(name, help string, v *atomic.Uint64) {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help},
+			func() float64 { return float64(v.Load()) }))
+	}
+	c("lentilbend_peer_sent_frames_total", "Frames sent to other VMs.", &h.counters.sentFrames)
+	c("lentilbend_peer_received_frames_total", "Frames received from other VMs.", &h.counters.receivedFrames)
+	c("lentilbend_peer_sent_bytes_total", "Bytes sent to other VMs.", &h.counters.sentBytes)
+	c("lentilbend_peer_received_bytes_total", "Bytes received from other VMs.", &h.counters.receivedBytes)
+	c("lentilbend_peer_refused_total", "Calls of VMs that may not talk.", &h.counters.refused)
+	c("lentilbend_peer_silent_total", "Connections replaced because they were silent.", &h.counters.silent)
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lentilbend_peer_connected", Help: "VMs with an open stream.",
+	}, func() float64 { return float64(len(h.Connected())) }))
+}
--- a/lentilbend/internal/serve/config.go
+++ b/lentilbend/internal/serve/config.go
@@ -1,12 +1,9 @@
 package serve
 
 import (
-	"context"
 	"net/netip"
 	"time"
 
-	"lentilbend.example/internal/peerpb"
-
 	"lentilbend.example/lentilbend/internal/platform"
 	"lentilbend.example/lentilbend/internal/relay"
 	"lentilbend.example/lentilbend/internal/store"
@@ -36,7 +33,7 @@
 		Store:   p.store,
 		List:    p.list,
 		Bus:     p.bus,
-		Peers:   noPeers{},
+		Peers:   p.hub,
 		Logger:  p.root.Part("relay"),
 		Members: p.answering,
 		Resync:  p.reader.Resync,
@@ -60,14 +57,5 @@
 
 // answering returns the entry VMs that answer.
 func (p *Process) answering() []netip.AddrPort {
-	return nil
-}
-
-// noPeers stands for the peers while there is no transport to them.
-type noPeers struct{}
-
-func (noPeers) Send(netip.AddrPort, *peerpb.Frame) bool { return false }
-
-func (noPeers) Pull(context.Context, netip.AddrPort, *peerpb.PullRequest) (*peerpb.PullAnswer, error) {
-	return nil, context.Canceled
+	return p.fleet.Answering()
 }
--- /dev/null
+++ b/lentilbend/internal/serve/fleet.go
@@ -0,0 +1,80 @@
+package serve
+
+import (
+	"net/netip"
+	"time"
+
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/platformpb"
+
+	"lentilbend.example/lentilbend/internal/fleet"
+	"lentilbend.example/lentilbend/internal/peer"
+	"lentilbend.example/lentilbend/internal/platform"
+)
+
+// buildFleet makes the streams to the other entry VMs and the membership. The
+// incarnation is the wall clock's, so that a later process has a greater one.
+func (p *Process) buildFleet() {
+	s := p.Settings
+	id := member.ID{Address: s.Peer.Address, Incarnation: uint64(time.Now().UnixNano())}
+	p.hub = &peer.Hub{
+		Self:       id,
+		DataCentre: s.DataCentre,
+		Settings:   s.Peer,
+		Logger:     p.root.Part("peer"),
+	}
+	p.fleet = &fleet.Fleet{
+		Node: &member.Node{
+			Self:       id,
+			DataCentre: s.DataCentre,
+			Promise:    member.DefaultPromise,
+			ListAge:    s.Peer.ListAge,
+			LoanMax:    member.DefaultLoanMax,
+			RunningMax: member.DefaultRunningMax,
+			Outage:     member.DefaultOutage,
+			Drift:      member.DefaultDrift,
+		},
+		Transport: p.hub,
+		Bus:       p.bus,
+		Logger:    p.root.Part("fleet"),
+		Seeds:     p.seeds,
+	}
+	p.hub.Allowed = p.fleet.Allowed
+	p.fleet.Register(p.registry)
+	p.hub.Register(p.registry)
+	p.parts["Members"] = p.fleet
+	p.parts["Peers"] = p.hub
+}
+
+// joinFleet connects the streams and the membership with the table and the VM
+// list.
+func (p *Process) joinFleet() {
+	p.hub.Answer = p.relay.Answer
+	p.hub.Handlers = []peer.Handler{p.fleet, p.relay}
+	p.reader.OnList = p.onList
+}
+
+// seeds returns the entry VMs of the settings and of the newest list known,
+// which a peer may have relayed.
+func (p *Process) seeds() []netip.AddrPort {
+	as := p.Settings.Peer.Seeds
+	l, _ := p.list.Newest()
+	for _, v := range l.VMs {
+		if v.Role == platform.RoleEntry {
+			as = append(as[:len(as):len(as)], v.Address)
+		}
+	}
+	return as
+}
+
+// onList hands an own read of the list to the membership.
+func (p *Process) onList(sent time.Time, a *platformpb.VmsAnswer) {
+	l := platform.Convert(a)
+	var vs []member.Vm
+	for _, v := range l.VMs {
+		if v.Role == platform.RoleEntry {
+			vs = append(vs, member.Vm{Address: v.Address, DataCentre: v.DataCentre, Leaving: v.Leaving})
+		}
+	}
+	p.fleet.List(sent, l.Revision, vs)
+}
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -25,8 +25,10 @@
 	"lentilbend.example/lentilbend/internal/exchange"
 	"lentilbend.example/lentilbend/internal/filter/key"
 	"lentilbend.example/lentilbend/internal/filter/route"
+	"lentilbend.example/lentilbend/internal/fleet"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
+	"lentilbend.example/lentilbend/internal/peer"
 	"lentilbend.example/lentilbend/internal/platform"
 	"lentilbend.example/lentilbend/internal/relay"
 	"lentilbend.example/lentilbend/internal/settings"
@@ -51,6 +53,8 @@
 	list     *platform.List
 	reader   *platform.Reader
 	relay    *relay.Relay
+	hub      *peer.Hub
+	fleet    *fleet.Fleet
 	caller   *caller.Server
 	operator *operator.Server
 	registry *prometheus.Registry
@@ -78,6 +82,8 @@
 		}()
 	}
 	run(func() error { return p.timer.Run(ctx) })
+	run(func() error { return p.hub.Run(ctx) })
+	run(func() error { return p.fleet.Run(ctx) })
 	run(func() error { return p.reader.Run(ctx) })
 	run(func() error { return p.relay.Run(ctx) })
 	run(p.operator.Run)
@@ -106,7 +112,9 @@
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.parts = map[string]operator.Dumper{}
+	p.buildFleet()
 	p.buildConfig()
+	p.joinFleet()
 	p.caller = &caller.Server{
 		Settings: s.Caller,
 		Sizes:    s.Limits,
