--- a/internal/member/settle.go
+++ b/internal/member/settle.go
@@ -295,7 +295,9 @@
 	if s.Count != n.share.Count || s.RunningCount != n.share.RunningCount {
 		s.Epoch++
 	}
-	use, running := time.Time{}, time.Time{}
+	// Loans of an earlier process at this address may still run.
+	use := n.started.Add(n.longer(n.LoanMax))
+	running := use
 	for _, p := range n.counts() {
 		use = latest(use, p.useFrom)
 		running = latest(running, p.runningFrom)
