--- /dev/null
+++ b/internal/choice/call.go
@@ -0,0 +1,89 @@
+package choice
+
+import (
+	"net/netip"
+	"time"
+)
+
+// call is one request in flight; calls of a server form a list by start.
+type call struct {
+	set    *Set
+	server *server
+	start  time.Time
+	// wait is the wait in the server's queue that was expected at the start.
+	wait       time.Duration
+	prev, next *call
+	ended      bool
+}
+
+// Server returns the server's address.
+func (c *call) Server() netip.AddrPort {
+	return c.server.address
+}
+
+// End tells how the call ended. Further calls do nothing.
+func (c *call) End(now time.Time, o Outcome) {
+	c.set.end(now, c, o)
+}
+
+// calls is a list of calls in flight, oldest first.
+type calls struct {
+	first, last *call
+	count       int
+}
+
+func (l *calls) push(c *call) {
+	c.prev = l.last
+	if l.last == nil {
+		l.first = c
+	} else {
+		l.last.next = c
+	}
+	l.last = c
+	l.count++
+}
+
+func (l *calls) remove(c *call) {
+	if c.prev == nil {
+		l.first = c.next
+	} else {
+		c.prev.next = c.next
+	}
+	if c.next == nil {
+		l.last = c.prev
+	} else {
+		c.next.prev = c.prev
+	}
+	c.prev, c.next = nil, nil
+	l.count--
+}
+
+// scanned is the most calls in flight that one look at a server goes through.
+const scanned = 16
+
+// since returns how many calls started after t, at most scanned.
+func (l *calls) since(t time.Time) int {
+	n := 0
+	for c := l.last; c != nil && n < scanned && c.start.After(t); c = c.prev {
+		n++
+	}
+	return n
+}
+
+// lateness returns by how many times the usual latency the oldest calls are
+// late in sum.
+func (l *calls) lateness(now time.Time, late time.Duration) float64 {
+	if late <= 0 {
+		return 0
+	}
+	var s float64
+	n := 0
+	for c := l.first; c != nil && n < scanned; c = c.next {
+		d := now.Sub(c.start) - late - c.wait
+		if d > 0 {
+			s += float64(d) / float64(late)
+		}
+		n++
+	}
+	return s
+}
--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -1,4 +1,8 @@
 // Package choice decides which backend server of a service gets a request.
+//
+// A Set holds what one entry VM knows of the servers of one service: its own
+// requests in flight, their lateness, the load reports on answers, failures,
+// cold starts and news from other entry VMs. A Policy picks by it.
 package choice
 
 import (
@@ -12,6 +16,12 @@
 type Server struct {
 	Address    netip.AddrPort
 	DataCentre string
+	// Out says that the table takes the server's data centre out.
+	Out bool
+	// Leaving says that the platform's VM list shows the server as leaving.
+	Leaving bool
+	// Missing says that the platform's VM list does not show the server.
+	Missing bool
 }
 
 // Call is one request given to a server.
@@ -60,3 +70,10 @@
 func (TimedOut) outcome()  {}
 func (Cancelled) outcome() {}
 func (NotSent) outcome()   {}
+
+// Allowance bounds work over all entry VMs together, such as the requests that
+// a server in cold start bears, or probes.
+type Allowance interface {
+	// Take uses one unit for server when one is free.
+	Take(now time.Time, server netip.AddrPort) bool
+}
--- /dev/null
+++ b/internal/choice/informed.go
@@ -0,0 +1,200 @@
+package choice
+
+import (
+	"math"
+	"net/netip"
+	"time"
+)
+
+// tier tells how much speaks against a server. A server of a worse tier is
+// chosen only when no better one is left, which then is overload, not a fault
+// of each.
+type tier int
+
+const (
+	tierGood tier = iota
+	tierSuspect
+	tierDraining
+	tierNone
+)
+
+// Parts of the score, as factors on the expected time.
+const (
+	missingFactor  = 1.25
+	missingKnown   = 5 * time.Second
+	evidenceFactor = 1.0
+	// unknownLatency stands for the mean latency while too few are known.
+	unknownLatency = 10 * time.Millisecond
+	// coldWait is how long an empty allowance is not asked again.
+	coldWait = 5 * time.Millisecond
+)
+
+// pickInformed offers the request to the servers in cold start as far as their
+// allowance goes, and else picks among the best tier by the expected time.
+func (s *Set) pickInformed(p Informed, tried []netip.AddrPort) *server {
+	if v := s.pickCold(tried); v != nil {
+		return v
+	}
+	if v := s.pickTrial(tried); v != nil {
+		return v
+	}
+	best := s.score(p, tried)
+	if best == tierNone {
+		return nil
+	}
+	return s.near(p, best)
+}
+
+// score fills scores with the expected time of each server in the best tier,
+// infinite for the others, and returns the tier.
+func (s *Set) score(p Informed, tried []netip.AddrPort) tier {
+	best := tierNone
+	for i, v := range s.servers {
+		s.scores[i] = math.Inf(1)
+		t := s.tier(v, tried)
+		if t > best || t == tierNone {
+			continue
+		}
+		if t < best {
+			best = t
+			s.clear(i)
+		}
+		s.scores[i] = s.expected(p, v)
+	}
+	if best == tierSuspect {
+		s.panics++
+	}
+	return best
+}
+
+func (s *Set) clear(n int) {
+	for i := range n {
+		s.scores[i] = math.Inf(1)
+	}
+}
+
+func (s *Set) tier(v *server, tried []netip.AddrPort) tier {
+	if !v.usable(tried) || v.start.bounded() {
+		return tierNone
+	}
+	if v.drains(s.now) {
+		return tierDraining
+	}
+	if v.health.suspended(s.now) || v.health.trial() && v.calls.count > 0 {
+		return tierSuspect
+	}
+	if !v.start.earn(len(s.servers)) {
+		return tierSuspect
+	}
+	return tierGood
+}
+
+// near picks any server whose score is close to the least one.
+func (s *Set) near(p Informed, t tier) *server {
+	least := math.Inf(1)
+	for _, c := range s.scores {
+		least = min(least, c)
+	}
+	most := least * (1 + p.Near)
+	var v *server
+	n := 0
+	for i, c := range s.scores {
+		if c > most {
+			continue
+		}
+		n++
+		if s.Rand.IntN(n) == 0 {
+			v = s.servers[i]
+		}
+	}
+	if v != nil && v.start.phase == phaseRamp && t == tierGood {
+		v.start.credit--
+	}
+	return v
+}
+
+// expected returns the time in nanoseconds after which a request given to v is
+// expected to end.
+func (s *Set) expected(p Informed, v *server) float64 {
+	f := v.slowness(s.now, p.Slow)
+	f += p.Late * v.calls.lateness(s.now, s.usual.late)
+	f += evidenceFactor * v.health.weight(s.now)
+	if v.missing && s.now.Sub(v.heard) > missingKnown {
+		f *= missingFactor
+	}
+	m := float64(unknownLatency)
+	if s.usual.known() {
+		m = float64(s.usual.mean)
+	}
+	return m*f*(1+s.wait(p, v)) + float64(v.centre.distance)
+}
+
+// wait returns the expected wait in v's queue, in mean latencies.
+func (s *Set) wait(p Informed, v *server) float64 {
+	n, sure := s.requests(p, v)
+	slots := float64(s.slots)
+	x := n - slots + 1
+	d := p.Spread * (1 - sure)
+	return (x + math.Sqrt(x*x+d*d+0.25)) / 2 / slots
+}
+
+// requests returns how many requests v is thought to have, and how much of
+// that rests on its own report. An old report fades to the usual number.
+func (s *Set) requests(p Informed, v *server) (float64, float64) {
+	m := s.usually()
+	own := s.byOwn(v, m)
+	if v.reported.IsZero() {
+		return own, 0
+	}
+	sure := faded(s.now.Sub(v.reported), s.fade(p))
+	n := m + (float64(v.report.Running+v.report.Queued)-m)*sure
+	n += float64(v.calls.since(v.reported))
+	if v.calls.count > 1 {
+		n = max(n, ownPart*own)
+	}
+	return n + v.correction(s.now), sure
+}
+
+// usually returns the usual number of requests at a server: by the reports, or
+// by the own calls when there are none.
+func (s *Set) usually() float64 {
+	if s.mean.count > 0 {
+		return s.mean.value
+	}
+	return float64(s.inFlight*max(s.VMs, 1)) / float64(len(s.servers))
+}
+
+// How the number of own calls tells of all calls at a server.
+const (
+	// ownPrior is the weight of the usual number, in own calls.
+	ownPrior = 2.0
+	// ownPart is the least part of the number by own calls that is believed
+	// against the server's report.
+	ownPart = 0.5
+)
+
+// byOwn returns how many requests v is thought to have by the number of own
+// calls in flight, if m is usual.
+func (s *Set) byOwn(v *server, m float64) float64 {
+	u := float64(s.inFlight) / float64(len(s.servers))
+	n := m * (ownPrior + float64(v.calls.count)) / (ownPrior + u)
+	return max(n, float64(v.calls.count))
+}
+
+func (s *Set) fade(p Informed) time.Duration {
+	return time.Duration(p.Fade * float64(max(s.usual.mean, latencyFloor)))
+}
+
+// mean is a running mean.
+type mean struct {
+	value float64
+	count int
+}
+
+// meanKeep is how many numbers the mean goes over, about.
+const meanKeep = 64
+
+func (m *mean) add(n float64) {
+	m.count = min(m.count+1, meanKeep)
+	m.value += (n - m.value) / float64(m.count)
+}
--- /dev/null
+++ b/internal/choice/set.go
@@ -0,0 +1,187 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Set chooses among the servers of one service. Set the exported fields before
+// use. A Set has one lock, held for a microsecond or so; services share none.
+type Set struct {
+	// Service is the name of the service.
+	Service string
+	// Policy picks the server.
+	Policy Policy
+	// Rand is the source of chance; nil for a random one.
+	Rand *rand.Rand
+	// Cold is asked before each request to a server in cold start.
+	Cold Allowance
+	// Probes is asked before each probe; nil for no probes.
+	Probes Allowance
+
+	// VMs is how many entry VMs there are; it counts only while no server
+	// reports its load.
+	VMs int
+
+	mu       sync.Mutex
+	inFlight int
+	now      time.Time
+	slots    int
+	coldFor  time.Duration
+	servers  []*server
+	centres  []*centre
+	usual    latencies
+	mean     mean // requests at a server, by all reports
+	ratios   mean // latencies in units of what was expected
+	next     int
+	scores   []float64
+	started  bool
+	panics   uint64
+	none     uint64
+	news     news
+}
+
+// Limits are the parts of the table's service that a Set goes by.
+type Limits struct {
+	// Slots is how many requests one server works on at once.
+	Slots int
+	// ColdFor is how long a cold start lasts.
+	ColdFor time.Duration
+}
+
+// Update sets the servers of the service. A server that a former call did not
+// name, or that comes back into service, is taken as cold; those of the first
+// call are not.
+func (s *Set) Update(now time.Time, l Limits, ss []Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begin(now)
+	s.slots = max(l.Slots, 1)
+	s.coldFor = l.ColdFor
+	known := make(map[netip.AddrPort]*server, len(s.servers))
+	for _, v := range s.servers {
+		known[v.address] = v
+	}
+	s.servers = make([]*server, 0, len(ss))
+	for _, v := range ss {
+		n := known[v.Address]
+		if n == nil {
+			n = &server{address: v.Address, slow: 1}
+		}
+		back := n.out && !v.Out || n.leaving && !v.Leaving
+		if s.started && (known[v.Address] == nil || back) {
+			s.renew(n)
+		}
+		n.centre = s.centre(v.DataCentre)
+		n.out, n.leaving, n.missing = v.Out, v.Leaving, v.Missing
+		s.servers = append(s.servers, n)
+	}
+	s.started = s.started || len(ss) > 0
+	s.scores = make([]float64, len(s.servers))
+}
+
+// renew takes a server that comes into service as cold, and forgets what
+// belongs to its time before.
+func (s *Set) renew(v *server) {
+	v.start.cold(s.now)
+	v.health = health{}
+	v.drain = drain{}
+	v.reported = time.Time{}
+	v.slow = 1
+}
+
+func (s *Set) centre(name string) *centre {
+	for _, c := range s.centres {
+		if c.name == name {
+			return c
+		}
+	}
+	c := &centre{name: name}
+	s.centres = append(s.centres, c)
+	return c
+}
+
+// begin takes the time of an operation, which never goes back.
+func (s *Set) begin(now time.Time) {
+	if s.Rand == nil {
+		s.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if now.After(s.now) {
+		s.now = now
+	}
+}
+
+// Choose picks a server that is not in tried. It returns false when there is
+// none that may get the request.
+func (s *Set) Choose(now time.Time, tried []netip.AddrPort) (Call, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begin(now)
+	v := s.pick(tried)
+	if v == nil {
+		s.none++
+		return nil, false
+	}
+	return s.call(v), true
+}
+
+func (s *Set) pick(tried []netip.AddrPort) *server {
+	switch p := s.Policy.(type) {
+	case Random:
+		return s.pickRandom(tried)
+	case RoundRobin:
+		return s.pickInTurn(tried)
+	case LeastOfTwo:
+		return s.pickLeastOfTwo(tried)
+	case Informed:
+		return s.pickInformed(p, tried)
+	}
+	return nil
+}
+
+// call notes a request given to v.
+func (s *Set) call(v *server) *call {
+	c := &call{set: s, server: v, start: s.now}
+	if p, ok := s.Policy.(Informed); ok {
+		c.wait = time.Duration(s.wait(p, v) * float64(s.usual.mean))
+	}
+	s.inFlight++
+	v.chosen++
+	v.calls.push(c)
+	return c
+}
+
+// end takes the outcome of a call.
+func (s *Set) end(now time.Time, c *call, o Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	s.begin(now)
+	v := c.server
+	s.inFlight--
+	v.calls.remove(c)
+	switch o := o.(type) {
+	case Answered:
+		s.answered(v, c, o)
+	case Shed:
+		s.shed(v, o)
+	case Failed:
+		s.failed(v)
+	case TimedOut:
+		s.late(v, c)
+	case Cancelled:
+		s.cancelled(v, c)
+	case NotSent:
+	}
+}
+
+// usable says whether a server may get new work at all.
+func (v *server) usable(tried []netip.AddrPort) bool {
+	return !v.out && !v.leaving && !slices.Contains(tried, v.address)
+}
