Wire the choice of servers into the process

Package chooser keeps one Set for each service by the table, the VM list, probes and the news of other VMs (LoadMessage). The cold allowance and the probe budget are this VM's equal part until the fleet-wide limits are wired.

--- a/internal/choice/dump.go
+++ b/internal/choice/dump.go
@@ -46,6 +46,11 @@
 	Failures  uint64
 }
 
+// Usable says whether the server gets work without bounds.
+func (d ServerDump) Usable() bool {
+	return !d.Out && !d.Leaving && !d.Draining && !d.Suspended && d.Phase == phaseWarm.String()
+}
+
 // Dump returns the state.
 func (s *Set) Dump() Dump {
 	s.mu.Lock()
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -161,7 +161,7 @@
 	if s.mean.count > 0 {
 		return s.mean.value
 	}
-	return float64(s.inFlight*max(s.VMs, 1)) / float64(len(s.servers))
+	return float64(s.inFlight*s.vms) / float64(len(s.servers))
 }
 
 // How the number of own calls tells of all calls at a server.
--- a/internal/choice/probe.go
+++ b/internal/choice/probe.go
@@ -18,7 +18,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begin(now)
-	if s.Probes == nil || len(s.servers) == 0 {
+	if s.Probes == nil || !s.probed || len(s.servers) == 0 {
 		return netip.AddrPort{}, false
 	}
 	o := s.Rand.IntN(len(s.servers))
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -22,14 +22,12 @@
 	// Probes is asked before each probe; nil for no probes.
 	Probes Allowance
 
-	// VMs is how many entry VMs there are; it counts only while no server
-	// reports its load.
-	VMs int
-
 	mu       sync.Mutex
 	inFlight int
 	now      time.Time
 	slots    int
+	vms      int
+	probed   bool
 	coldFor  time.Duration
 	servers  []*server
 	centres  []*centre
@@ -50,6 +48,11 @@
 	Slots int
 	// ColdFor is how long a cold start lasts.
 	ColdFor time.Duration
+	// VMs is how many entry VMs there are; it counts only while no server
+	// reports its load.
+	VMs int
+	// Probed says that servers have a load endpoint that may be probed.
+	Probed bool
 }
 
 // Update sets the servers of the service. A server that a former call did not
@@ -61,6 +64,8 @@
 	s.begin(now)
 	s.slots = max(l.Slots, 1)
 	s.coldFor = l.ColdFor
+	s.vms = max(l.VMs, 1)
+	s.probed = l.Probed
 	known := make(map[netip.AddrPort]*server, len(s.servers))
 	for _, v := range s.servers {
 		known[v.address] = v
--- /dev/null
+++ b/lentilbend/internal/chooser/services.go
@@ -0,0 +1,180 @@
+// Package chooser keeps the choice among the backend servers of every service
+// up to date with the table, the VM list, probes and the news of other VMs.
+package chooser
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/table"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+	"lentilbend.example/lentilbend/internal/platform"
+)
+
+// Services chooses the backend servers of all services. Set the exported
+// fields before use.
+type Services struct {
+	// Policy is how servers are chosen.
+	Policy choice.Policy
+	Logger log.Logger
+	// Table returns the table in force, or nil.
+	Table func() *table.Table
+	// VMs returns the newest VM list and whether there is one.
+	VMs func() (platform.VMs, bool)
+	// Cold and Probes return the allowances of a service; nil for this VM's
+	// equal part of the table's rates.
+	Cold   func(service string) choice.Allowance
+	Probes func(service string) choice.Allowance
+
+	mu       sync.Mutex
+	services atomic.Pointer[map[string]*service]
+	early    map[string][]early
+}
+
+// service is one service of the table.
+type service struct {
+	set    *choice.Set
+	cold   *choice.Local
+	probes *choice.Local
+	path   atomic.Pointer[string]
+	table  uint64
+	list   uint64
+}
+
+// Choose returns a call to a server of x.Service that is not in tried, or false
+// when none may get the request.
+func (s *Services) Choose(now time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, bool) {
+	v := s.find(x.Service.Name)
+	if v == nil {
+		s.Refresh(now)
+		if v = s.find(x.Service.Name); v == nil {
+			return nil, false
+		}
+	}
+	return v.set.Choose(now, tried)
+}
+
+func (s *Services) find(name string) *service {
+	m := s.services.Load()
+	if m == nil {
+		return nil
+	}
+	return (*m)[name]
+}
+
+// Refresh takes the table and the VM list as they are now.
+func (s *Services) Refresh(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.Table()
+	if t == nil {
+		return
+	}
+	l := s.list()
+	m := make(map[string]*service, len(t.Services))
+	for i := range t.Services {
+		c := &t.Services[i]
+		v := s.find(c.Name)
+		if v == nil {
+			v = s.open(c.Name)
+		}
+		s.update(now, v, t, c, l)
+		m[c.Name] = v
+	}
+	s.services.Store(&m)
+	for n := range m {
+		s.hearEarly(now, n, m[n])
+	}
+}
+
+func (s *Services) open(name string) *service {
+	_ = level.Info(s.Logger).Log("msg", "Choosing servers.", "service", name)
+	v := &service{cold: &choice.Local{}, probes: &choice.Local{Together: true}}
+	v.set = &choice.Set{Service: name, Policy: s.Policy, Cold: v.cold, Probes: v.probes}
+	if s.Cold != nil {
+		v.set.Cold = s.Cold(name)
+	}
+	if s.Probes != nil {
+		v.set.Probes = s.Probes(name)
+	}
+	return v
+}
+
+// update gives a service its servers, unless it has them already.
+func (s *Services) update(now time.Time, v *service, t *table.Table, c *table.Service, l list) {
+	if v.table == t.Revision && v.list == l.revision {
+		return
+	}
+	v.table, v.list = t.Revision, l.revision
+	v.path.Store(&c.LoadPath)
+	v.cold.Set(c.ColdRate, l.entries)
+	v.probes.Set(c.ProbeRate, l.entries)
+	ss := make([]choice.Server, 0, len(c.Servers))
+	for _, a := range c.Servers {
+		ss = append(ss, l.server(a, out(t, a.DataCentre)))
+	}
+	v.set.Update(now, choice.Limits{
+		Slots: c.Slots, ColdFor: c.ColdFor, VMs: l.entries, Probed: c.ProbeRate > 0 && c.LoadPath != "",
+	}, ss)
+}
+
+func out(t *table.Table, name string) bool {
+	c, ok := t.DataCentre(name)
+	return !ok || c.State != table.CentreIn
+}
+
+// list is what the VM list tells of backend servers.
+type list struct {
+	revision uint64
+	entries  int
+	backends map[netip.AddrPort]platform.VM
+}
+
+func (s *Services) list() list {
+	l := list{backends: map[netip.AddrPort]platform.VM{}}
+	vs, ok := s.VMs()
+	if !ok {
+		return l
+	}
+	l.revision = vs.Revision
+	for _, v := range vs.VMs {
+		switch v.Role {
+		case platform.RoleEntry:
+			l.entries++
+		case platform.RoleBackend:
+			l.backends[v.Address] = v
+		}
+	}
+	return l
+}
+
+// server returns a server as the list shows it. A list without backend servers
+// says nothing of them.
+func (l list) server(a table.Server, out bool) choice.Server {
+	v, ok := l.backends[a.Address]
+	return choice.Server{
+		Address:    a.Address,
+		DataCentre: a.DataCentre,
+		Out:        out,
+		Leaving:    v.Leaving,
+		Missing:    !ok && len(l.backends) > 0,
+	}
+}
+
+// each calls f for every service.
+func (s *Services) each(f func(name string, v *service)) {
+	m := s.services.Load()
+	if m == nil {
+		return
+	}
+	for n, v := range *m {
+		f(n, v)
+	}
+}
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -22,6 +22,7 @@
 
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
+	"lentilbend.example/lentilbend/internal/chooser"
 	"lentilbend.example/lentilbend/internal/exchange"
 	"lentilbend.example/lentilbend/internal/filter/key"
 	"lentilbend.example/lentilbend/internal/filter/route"
@@ -57,6 +58,7 @@
 	parts    map[string]operator.Dumper
 	stopping atomic.Bool
 
+	services    *chooser.Services
 	started     time.Time
 	settledOnce atomic.Bool
 }
@@ -80,6 +82,7 @@
 	run(func() error { return p.timer.Run(ctx) })
 	run(func() error { return p.reader.Run(ctx) })
 	run(func() error { return p.relay.Run(ctx) })
+	run(func() error { return p.runChoice(ctx, noPeers{}) })
 	run(p.operator.Run)
 	run(p.caller.Run)
 	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
@@ -107,6 +110,7 @@
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.parts = map[string]operator.Dumper{}
 	p.buildConfig()
+	p.buildChoice()
 	p.caller = &caller.Server{
 		Settings: s.Caller,
 		Sizes:    s.Limits,
