--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -19,6 +19,9 @@
 	Rand *rand.Rand
 	// Cold is asked before each request to a server in cold start.
 	Cold Allowance
+	// Observe is called with each outcome and how long the call took; nil for
+	// none. It runs outside the lock.
+	Observe func(now time.Time, elapsed time.Duration, o Outcome)
 	// Probes is asked before each probe; nil for no probes.
 	Probes Allowance
 
@@ -161,10 +164,16 @@
 
 // end takes the outcome of a call.
 func (s *Set) end(now time.Time, c *call, o Outcome) {
+	if s.note(now, c, o) && s.Observe != nil {
+		s.Observe(now, now.Sub(c.start), o)
+	}
+}
+
+func (s *Set) note(now time.Time, c *call, o Outcome) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.ended {
-		return
+		return false
 	}
 	c.ended = true
 	s.begin(now)
@@ -184,6 +193,7 @@
 		s.cancelled(v, c)
 	case NotSent:
 	}
+	return true
 }
 
 // usable says whether a server may get new work at all.
--- a/lentilbend/internal/chooser/metrics.go
+++ b/lentilbend/internal/chooser/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/fair"
 )
 
 // serversMost bounds the servers that metrics are given for.
@@ -19,12 +20,20 @@
 	coldTotal   = describe("cold_total", "Requests given to the backend server by its cold allowance.")
 	inFlight    = describe("in_flight", "Requests in flight to the backend server.")
 	usable      = describe("usable", "1 when the backend server gets work without bounds, else 0.")
-	noServer    = prometheus.NewDesc("lentilbend_service_no_server_total",
-		"Requests for which no backend server might be chosen.", []string{"service"}, nil)
-	allSuspect = prometheus.NewDesc("lentilbend_service_all_suspect_total",
-		"Requests for which every backend server looked bad.", []string{"service"}, nil)
+	noServer    = describeService("no_server_total", "Requests for which no backend server might be chosen.")
+	allSuspect  = describeService("all_suspect_total", "Requests for which every backend server looked bad.")
+
+	shareLimit    = describeService("limit", "Requests that may run at once from this VM, as learned.")
+	shareRunning  = describeService("running", "Requests admitted and not ended.")
+	shareWaiting  = describeService("waiting", "Requests that wait for their turn.")
+	sharePressure = describeService("pressure", "1 when the backend servers are as full as they should be.")
+	shareRefused  = describeService("overload_refusals_total", "Requests refused because of overload.")
 )
 
+func describeService(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc("lentilbend_service_"+name, help, []string{"service"}, nil)
+}
+
 func describe(name, help string) *prometheus.Desc {
 	return prometheus.NewDesc("lentilbend_server_"+name, help, []string{"service", "server"}, nil)
 }
@@ -33,6 +42,7 @@
 func (s *Services) Describe(c chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		chosenTotal, failedTotal, shedTotal, coldTotal, inFlight, usable, noServer, allSuspect,
+		shareLimit, shareRunning, shareWaiting, sharePressure, shareRefused,
 	} {
 		c <- d
 	}
@@ -42,9 +52,10 @@
 func (s *Services) Collect(c chan<- prometheus.Metric) {
 	n := 0
 	for _, d := range s.dumps() {
-		count(c, noServer, d.NoServer, d.Service)
-		count(c, allSuspect, d.AllSuspect, d.Service)
-		for _, v := range d.Servers {
+		count(c, noServer, d.Choice.NoServer, d.Service)
+		count(c, allSuspect, d.Choice.AllSuspect, d.Service)
+		share(c, d.Service, d.Share)
+		for _, v := range d.Choice.Servers {
 			if n++; n <= serversMost {
 				collect(c, d.Service, v)
 			}
@@ -52,6 +63,14 @@
 	}
 }
 
+func share(c chan<- prometheus.Metric, service string, d fair.Dump) {
+	gauge(c, shareLimit, d.Limit, service)
+	gauge(c, shareRunning, float64(d.Running), service)
+	gauge(c, shareWaiting, float64(d.Waiting), service)
+	gauge(c, sharePressure, d.Pressure, service)
+	count(c, shareRefused, d.Refused, service)
+}
+
 func collect(c chan<- prometheus.Metric, service string, v choice.ServerDump) {
 	ls := []string{service, v.Address.String()}
 	count(c, chosenTotal, v.Chosen, ls...)
@@ -74,14 +93,23 @@
 	c <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, ls...)
 }
 
-// Dump returns the state of all services.
+// ServiceDump is the state of one service.
+type ServiceDump struct {
+	Service string
+	Choice  choice.Dump
+	Share   fair.Dump
+}
+
+// Dump returns the state of all services, a []ServiceDump.
 func (s *Services) Dump() any {
 	return s.dumps()
 }
 
-func (s *Services) dumps() []choice.Dump {
-	var ds []choice.Dump
-	s.each(func(_ string, v *service) { ds = append(ds, v.set.Dump()) })
-	slices.SortFunc(ds, func(a, b choice.Dump) int { return cmp.Compare(a.Service, b.Service) })
+func (s *Services) dumps() []ServiceDump {
+	var ds []ServiceDump
+	s.each(func(n string, v *service) {
+		ds = append(ds, ServiceDump{Service: n, Choice: v.set.Dump(), Share: v.gate.Dump()})
+	})
+	slices.SortFunc(ds, func(a, b ServiceDump) int { return cmp.Compare(a.Service, b.Service) })
 	return ds
 }
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/fair"
 	"lentilbend.example/internal/table"
 
 	"lentilbend.example/lentilbend/internal/exchange"
@@ -41,6 +42,7 @@
 // service is one service of the table.
 type service struct {
 	set    *choice.Set
+	gate   *fair.Gate
 	cold   *choice.Local
 	probes *choice.Local
 	path   atomic.Pointer[string]
@@ -97,7 +99,8 @@
 func (s *Services) open(name string) *service {
 	_ = level.Info(s.Logger).Log("msg", "Choosing servers.", "service", name)
 	v := &service{cold: &choice.Local{}, probes: &choice.Local{Together: true}}
-	v.set = &choice.Set{Service: name, Policy: s.Policy, Cold: v.cold, Probes: v.probes}
+	v.gate = &fair.Gate{}
+	v.set = &choice.Set{Service: name, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe}
 	if s.Cold != nil {
 		v.set.Cold = s.Cold(name)
 	}
--- /dev/null
+++ b/lentilbend/internal/filter/share/share.go
@@ -0,0 +1,112 @@
+// Package share shares out an overloaded service among workspaces by weight.
+package share
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lentilbend.example/internal/fair"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+)
+
+// openWeight is the weight of requests without a row: those of open routes.
+const openWeight = 1.0
+
+// Filter lets a request wait for its turn, or refuses it when the service is
+// overloaded. The route and key must be known before it. Set the exported
+// fields before use.
+type Filter struct {
+	// Gate returns the gate of a service, or nil when there is none.
+	Gate func(service string) *fair.Gate
+
+	waited  atomic.Uint64
+	refused atomic.Uint64
+	left    atomic.Uint64
+}
+
+// Filter passes x on when it may run.
+func (f *Filter) Filter(x *exchange.Exchange, next exchange.Handler) {
+	g := f.Gate(x.Service.Name)
+	if g == nil {
+		next.Serve(x)
+		return
+	}
+	done := make(chan fair.Verdict, 1)
+	q := request(x)
+	q.Done = func(v fair.Verdict) { done <- v }
+	t, v := g.Enter(time.Now(), q)
+	if _, ok := v.(fair.Waiting); ok {
+		f.waited.Add(1)
+		v = f.wait(x, g, t, done)
+	}
+	switch v := v.(type) {
+	case fair.Admitted:
+		defer func() { g.Leave(time.Now(), t) }()
+		next.Serve(x)
+	case fair.Refused:
+		f.refused.Add(1)
+		refuse(x, v)
+	case fair.Waiting:
+	}
+}
+
+// wait returns what becomes of a request that waits. It is Waiting when the
+// caller went away.
+func (f *Filter) wait(x *exchange.Exchange, g *fair.Gate, t *fair.Ticket, done <-chan fair.Verdict) fair.Verdict {
+	select {
+	case v := <-done:
+		return v
+	case <-x.Request.Context().Done():
+		f.left.Add(1)
+		g.Leave(time.Now(), t)
+		refuse(x, fair.Refused{})
+		return fair.Waiting{}
+	}
+}
+
+func request(x *exchange.Exchange) fair.Request {
+	q := fair.Request{Weight: openWeight, Deadline: x.Deadline}
+	if x.Workspace != nil {
+		q.Workspace = x.Workspace.Name
+	}
+	if x.Row != nil {
+		q.Weight = x.Row.Weight
+	}
+	return q
+}
+
+func refuse(x *exchange.Exchange, r fair.Refused) {
+	x.Refuse(exchange.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Run:        exchange.NotRun,
+		Reason:     "The service is overloaded.",
+		RetryAfter: r.RetryAfter,
+	})
+}
+
+var (
+	waitedTotal = prometheus.NewDesc("lentilbend_share_waited_total",
+		"Requests that waited for their turn.", nil, nil)
+	refusedTotal = prometheus.NewDesc("lentilbend_share_refused_total",
+		"Requests refused because their service was overloaded.", nil, nil)
+	leftTotal = prometheus.NewDesc("lentilbend_share_left_total",
+		"Requests whose caller went away while they waited.", nil, nil)
+)
+
+// Describe sends the descriptions of the metrics.
+func (f *Filter) Describe(c chan<- *prometheus.Desc) {
+	c <- waitedTotal
+	c <- refusedTotal
+	c <- leftTotal
+}
+
+// Collect sends the metrics.
+func (f *Filter) Collect(c chan<- prometheus.Metric) {
+	c <- prometheus.MustNewConstMetric(waitedTotal, prometheus.CounterValue, float64(f.waited.Load()))
+	c <- prometheus.MustNewConstMetric(refusedTotal, prometheus.CounterValue, float64(f.refused.Load()))
+	c <- prometheus.MustNewConstMetric(leftTotal, prometheus.CounterValue, float64(f.left.Load()))
+}
--- a/lentilbend/internal/serve/choice.go
+++ b/lentilbend/internal/serve/choice.go
@@ -12,11 +12,12 @@
 	"lentilbend.example/internal/peerpb"
 
 	"lentilbend.example/lentilbend/internal/chooser"
+	"lentilbend.example/lentilbend/internal/filter/share"
 )
 
 // Times of the choice of servers.
 const (
-	newsEvery  = 20 * time.Millisecond
+	newsEvery  = 10 * time.Millisecond
 	probeEvery = 500 * time.Millisecond
 )
 
@@ -28,7 +29,8 @@
 		Table:  p.store.Table,
 		VMs:    p.list.Newest,
 	}
-	p.registry.MustRegister(p.services)
+	p.share = &share.Filter{Gate: p.services.Gate}
+	p.registry.MustRegister(p.services, p.share)
 	p.parts["Choice"] = p.services
 }
 
@@ -50,6 +52,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
+			p.services.Tick(now)
 			p.tell(peers, p.services.News(now))
 		}
 	}
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -26,6 +26,7 @@
 	"lentilbend.example/lentilbend/internal/exchange"
 	"lentilbend.example/lentilbend/internal/filter/key"
 	"lentilbend.example/lentilbend/internal/filter/route"
+	"lentilbend.example/lentilbend/internal/filter/share"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/platform"
@@ -59,6 +60,7 @@
 	stopping atomic.Bool
 
 	services    *chooser.Services
+	share       *share.Filter
 	started     time.Time
 	settledOnce atomic.Bool
 }
@@ -129,7 +131,7 @@
 // filters returns the row that every request passes.
 func (p *Process) filters() exchange.Handler {
 	f := &backend.Forwarder{Transport: &http.Transport{DisableCompression: true}}
-	return exchange.Chain(f, route.Filter{}, key.Filter{})
+	return exchange.Chain(f, route.Filter{}, key.Filter{}, p.share)
 }
 
 func (p *Process) ready() error {
