--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -22,10 +22,15 @@
 
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
+	"lentilbend.example/lentilbend/internal/chooser"
 	"lentilbend.example/lentilbend/internal/exchange"
 	"lentilbend.example/lentilbend/internal/filter/key"
 	"lentilbend.example/lentilbend/internal/filter/route"
+<<<<<<< HEAD
 	"lentilbend.example/lentilbend/internal/fleet"
+=======
+	"lentilbend.example/lentilbend/internal/filter/share"
+>>>>>>> choice
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/peer"
@@ -61,6 +66,8 @@
 	parts    map[string]operator.Dumper
 	stopping atomic.Bool
 
+	services    *chooser.Services
+	share       *share.Filter
 	started     time.Time
 	settledOnce atomic.Bool
 }
@@ -86,6 +93,7 @@
 	run(func() error { return p.fleet.Run(ctx) })
 	run(func() error { return p.reader.Run(ctx) })
 	run(func() error { return p.relay.Run(ctx) })
+	run(func() error { return p.runChoice(ctx, noPeers{}) })
 	run(p.operator.Run)
 	run(p.caller.Run)
 	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
@@ -114,7 +122,11 @@
 	p.parts = map[string]operator.Dumper{}
 	p.buildFleet()
 	p.buildConfig()
+<<<<<<< HEAD
 	p.joinFleet()
+=======
+	p.buildChoice()
+>>>>>>> choice
 	p.caller = &caller.Server{
 		Settings: s.Caller,
 		Sizes:    s.Limits,
@@ -133,7 +145,7 @@
 // filters returns the row that every request passes.
 func (p *Process) filters() exchange.Handler {
 	f := &backend.Forwarder{Transport: &http.Transport{DisableCompression: true}}
-	return exchange.Chain(f, route.Filter{}, key.Filter{})
+	return exchange.Chain(f, route.Filter{}, key.Filter{}, p.share)
 }
 
 func (p *Process) ready() error {
