Send requests over own connection pools

The standard transport retries on reused connections and trusts Idempotency-Key headers, and its pool cannot be bounded per server or told of silent connections. Backend servers now have a pool each of http.ClientConn. A wire below each connection checks the deadline, the age of the request and an end sent by the server just before the first byte.

Refusals carry a cause and say whether the request may have run. A planned stop answers with Connection: close (GOAWAY over HTTP/2) while it waits and closes an idle connection only when nothing has arrived on it.

--- /dev/null
+++ b/lentilbend/internal/backend/chooser.go
@@ -0,0 +1,47 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/table"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+)
+
+// Chooser picks the backend server of a request.
+type Chooser interface {
+	// Choose returns a call to a server of x.Service that is not in tried, or
+	// false when there is none. The caller ends the call.
+	Choose(now time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, bool)
+}
+
+// Random chooses any server of a data centre that is in.
+type Random struct{}
+
+// Choose returns a call to a random server.
+func (Random) Choose(_ time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, bool) {
+	ss := x.Service.Servers
+	if len(ss) == 0 {
+		return nil, false
+	}
+	first := rand.IntN(len(ss))
+	for i := range ss {
+		s := ss[(first+i)%len(ss)]
+		c, ok := x.Table.DataCentre(s.DataCentre)
+		if ok && c.State == table.CentreIn && !slices.Contains(tried, s.Address) {
+			return randomCall{server: s.Address}, true
+		}
+	}
+	return nil, false
+}
+
+type randomCall struct {
+	server netip.AddrPort
+}
+
+func (c randomCall) Server() netip.AddrPort      { return c.server }
+func (randomCall) End(time.Time, choice.Outcome) {}
--- a/lentilbend/internal/backend/forward.go
+++ b/lentilbend/internal/backend/forward.go
@@ -1,67 +1,137 @@
-// Package backend forwards requests to backend servers.
+// Package backend forwards requests to backend servers and passes their
+// answers on. A request that is not idempotent reaches the application of at
+// most one backend server.
 package backend
 
 import (
-	"io"
-	"math/rand/v2"
+	"context"
+	"errors"
 	"net/http"
+	"time"
 
 	"lentilbend.example/lentilbend/internal/exchange"
+	"lentilbend.example/lentilbend/internal/pool"
 )
 
 // Forwarder is the last handler of the row. Set the exported fields before
 // use.
 type Forwarder struct {
-	Transport *http.Transport
-}
-
-// noBody is an empty body that the transport cannot send again, so that it
-// never repeats a request by itself.
-type noBody struct{}
+	Pools   *pool.Set
+	Chooser Chooser
+	// BodyLimit is the largest body of a request, in bytes.
+	BodyLimit int64
+	// Now returns the time; time.Now when nil.
+	Now func() time.Time
 
-func (noBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (noBody) Close() error             { return nil }
+	budgets budgets
+	counts  counts
+}
 
 // Serve forwards x to a backend server and passes the answer on.
 func (f *Forwarder) Serve(x *exchange.Exchange) {
-	ss := x.Service.Servers
-	if len(ss) == 0 {
-		x.Refuse(exchange.Refusal{
-			Status: http.StatusServiceUnavailable,
-			Run:    exchange.NotRun,
-			Reason: "The service has no backend server.",
-		})
+	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
+	defer cancel()
+	w := &work{
+		forwarder: f,
+		exchange:  x,
+		ctx:       ctx,
+		budget:    f.budgets.of(x.Service.Name),
+		incoming:  exchange.Attempt(x.Request.Header),
+	}
+	start := f.now()
+	b, err := newBody(x, f.BodyLimit)
+	w.body = b
+	x.Spent += f.now().Sub(start)
+	if err != nil {
+		w.refuse(w.bodyResult(err))
 		return
 	}
-	s := ss[rand.IntN(len(ss))]
-	r := x.Request.Clone(x.Request.Context())
-	r.URL.Scheme = "http"
-	r.URL.Host = s.Address.String()
-	r.RequestURI = ""
-	r.Header.Del("Authorization")
-	if r.ContentLength == 0 {
-		r.Body = noBody{}
+	w.header = prepare(x.Request)
+	w.run()
+}
+
+func (f *Forwarder) now() time.Time {
+	if f.Now == nil {
+		return time.Now()
+	}
+	return f.Now()
+}
+
+// bodyResult returns the result of an error in reading the caller's body.
+func (w *work) bodyResult(err error) result {
+	if errors.Is(err, errTooLarge) {
+		return badBody{tooLarge: true}
+	}
+	if r := w.ended(); r != nil {
+		return r
+	}
+	return badBody{}
+}
+
+// ended returns expired or gone when the exchange is over, else nil.
+func (w *work) ended() result {
+	if !w.forwarder.now().Before(w.exchange.Deadline) {
+		return expired{}
+	}
+	err := w.ctx.Err()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return expired{}
 	}
-	a, err := f.Transport.RoundTrip(r)
 	if err != nil {
-		x.Refuse(exchange.Refusal{
-			Status: http.StatusBadGateway,
-			Run:    exchange.RunUnknown,
-			Reason: "The backend server gave no answer.",
-		})
-		return
+		return gone{}
 	}
-	f.pass(x, a)
+	return nil
 }
 
-func (f *Forwarder) pass(x *exchange.Exchange, a *http.Response) {
-	defer func() { _ = a.Body.Close() }()
-	h := x.Writer.Header()
-	for k, vs := range a.Header {
-		h[k] = vs
+// refuse ends the exchange by what the last attempt came to.
+func (w *work) refuse(r result) {
+	x := w.exchange
+	run := exchange.NotRun
+	if w.reached {
+		run = exchange.RunUnknown
 	}
-	x.Writer.WriteHeader(a.StatusCode)
-	if _, err := io.Copy(x.Writer, a.Body); err != nil {
+	switch r := r.(type) {
+	case gone, cut:
+		w.forwarder.counts.aborted(r)
+		x.Aborted = true
 		panic(http.ErrAbortHandler)
+	case expired:
+		x.Refuse(exchange.Refusal{
+			Status: http.StatusGatewayTimeout, Run: run, Cause: exchange.CauseDeadline,
+			Reason: "The deadline passed without an answer.",
+		})
+	case badBody:
+		w.refuseBody(r, run)
+	case shed:
+		x.Refuse(exchange.Refusal{
+			Status: http.StatusServiceUnavailable, Run: run, Cause: exchange.CauseShed,
+			Reason:     "The backend servers did not start the request.",
+			RetryAfter: max(time.Second, r.retryAfter),
+		})
+	case broken, abandoned:
+		x.Refuse(exchange.Refusal{
+			Status: http.StatusBadGateway, Run: run, Cause: exchange.CauseBroken,
+			Reason: "The backend server gave no whole answer.",
+		})
+	default:
+		x.Refuse(exchange.Refusal{
+			Status: http.StatusServiceUnavailable, Run: run, Cause: exchange.CauseNoServer,
+			Reason:     "No backend server could be reached.",
+			RetryAfter: time.Second,
+		})
+	}
+}
+
+func (w *work) refuseBody(r badBody, run exchange.Run) {
+	if r.tooLarge {
+		w.exchange.Refuse(exchange.Refusal{
+			Status: http.StatusRequestEntityTooLarge, Run: run, Cause: exchange.CauseTooLarge,
+			Reason: "The request's body is too large.",
+		})
+		return
 	}
+	w.exchange.Refuse(exchange.Refusal{
+		Status: http.StatusBadRequest, Run: run, Cause: exchange.CauseMalformed,
+		Reason: "The request's body could not be read.",
+	})
 }
--- /dev/null
+++ b/lentilbend/internal/backend/work.go
@@ -0,0 +1,295 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/load"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+	"lentilbend.example/lentilbend/internal/pool"
+)
+
+// returnMargin is kept from the time left that a backend server is told, for
+// the answer's way back.
+const returnMargin = 2 * time.Millisecond
+
+// work is the forwarding of one exchange.
+type work struct {
+	forwarder *Forwarder
+	exchange  *exchange.Exchange
+	ctx       context.Context
+	budget    *budget
+	body      *body
+	header    http.Header
+	// incoming is the number of the attempt that the caller made.
+	incoming int
+	tried    []netip.AddrPort
+	// reached says that a backend server's application may have seen the
+	// request.
+	reached bool
+}
+
+// run makes attempts until one is final.
+func (w *work) run() {
+	last := w.attempt()
+	for w.repeat(last) {
+		w.forwarder.counts.retried(last)
+		r := w.attempt()
+		if _, ok := r.(noServer); ok {
+			break
+		}
+		last = r
+	}
+	if _, ok := last.(passed); ok {
+		w.budget.succeeded()
+		return
+	}
+	w.refuse(last)
+}
+
+// repeat decides whether another attempt may follow one that ended with r. It
+// spends the retry budget.
+func (w *work) repeat(r result) bool {
+	if len(w.tried) >= triesAtMost || !w.body.again() {
+		return false
+	}
+	switch r.(type) {
+	case notSent:
+		return true
+	case abandoned:
+		return true
+	case shed:
+		return w.incoming == firstAttempt && w.budget.take()
+	case broken:
+		return w.mayRunAgain() && w.budget.take()
+	}
+	return false
+}
+
+// mayRunAgain reports whether a request that may have run may be sent again
+// here. One that was repeated nearer to the caller is not.
+func (w *work) mayRunAgain() bool {
+	return w.exchange.Route.Idempotent && w.incoming == firstAttempt && w.body.again()
+}
+
+// attempt sends the request to one server, over a second connection when the
+// first proves closed before any byte is written.
+func (w *work) attempt() result {
+	if r := w.ended(); r != nil {
+		return r
+	}
+	call, ok := w.forwarder.Chooser.Choose(w.forwarder.now(), w.exchange, w.tried)
+	if !ok {
+		return noServer{}
+	}
+	w.tried = append(w.tried, call.Server())
+	for range connsPerTry {
+		r, again := w.send(call)
+		if !again {
+			return r
+		}
+	}
+	w.end(call, choice.NotSent{})
+	return notSent{}
+}
+
+func (w *work) end(c choice.Call, o choice.Outcome) {
+	c.End(w.forwarder.now(), o)
+}
+
+// send makes one try over one connection. It returns true when no byte was
+// written and another connection may do better; the call is ended otherwise.
+func (w *work) send(call choice.Call) (result, bool) {
+	c, err := w.forwarder.Pools.Pool(call.Server()).Take(w.ctx, !w.exchange.Route.Idempotent)
+	if err != nil {
+		return w.noConn(call, err), false
+	}
+	var s state
+	a, err := w.roundTrip(c, &s)
+	if err != nil {
+		c.Close()
+		return w.failed(call, c, &s, err)
+	}
+	w.exchange.Spent += c.FirstByte()
+	return w.head(call, c, &s, a), false
+}
+
+// state is whether a request still waits for its answer.
+type state struct {
+	atomic.Int32
+}
+
+// Values of state.
+const (
+	waiting int32 = iota
+	hasAnswer
+	isAbandoned
+)
+
+func (w *work) noConn(call choice.Call, err error) result {
+	if r := w.ended(); r != nil {
+		w.end(call, choice.NotSent{})
+		return r
+	}
+	if errors.Is(err, pool.ErrBusy) {
+		w.end(call, choice.NotSent{})
+		return notSent{}
+	}
+	w.end(call, choice.Failed{})
+	return notSent{}
+}
+
+func (w *work) roundTrip(c *pool.Conn, s *state) (*http.Response, error) {
+	e := &early{writer: w.exchange.Writer}
+	defer e.end()
+	t := pool.Trip{
+		Kind:     w.exchange.Route.Kind,
+		Deadline: w.exchange.Deadline,
+		Streamed: w.body.streamed(),
+	}
+	if w.mayRunAgain() {
+		t.Silent = func() { w.abandon(c, s) }
+	}
+	return c.RoundTrip(w.request(httptrace.WithClientTrace(w.ctx, e.trace())), t)
+}
+
+// abandon gives a silent request up when the budget pays for another try.
+func (w *work) abandon(c *pool.Conn, s *state) {
+	if len(w.tried) >= triesAtMost || !w.budget.take() {
+		return
+	}
+	if s.CompareAndSwap(waiting, isAbandoned) {
+		c.Close()
+	}
+}
+
+// request makes the request for the next try.
+func (w *work) request(ctx context.Context) *http.Request {
+	w.exchange.Attempts++
+	if w.exchange.Attempts > 1 {
+		w.header = maps.Clone(w.header)
+	}
+	left := w.exchange.Deadline.Sub(w.forwarder.now())
+	if left > 2*returnMargin {
+		left -= returnMargin
+	}
+	w.header[exchange.TimeoutHeader] = []string{exchange.FormatTimeout(max(0, left))}
+	w.header[exchange.AttemptHeader] = []string{strconv.Itoa(w.incoming + len(w.tried) - 1)}
+	r := w.exchange.Request
+	o := &http.Request{
+		Method: r.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: w.tried[len(w.tried)-1].String(),
+			Path: r.URL.Path, RawPath: r.URL.RawPath,
+			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+		},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header:        w.header,
+		Body:          w.body.reader(),
+		ContentLength: w.body.length,
+		Host:          r.Host,
+		Trailer:       w.body.trailer,
+	}
+	return o.WithContext(ctx)
+}
+
+// failed judges a round trip without an answer.
+func (w *work) failed(call choice.Call, c *pool.Conn, s *state, err error) (result, bool) {
+	sent := c.Written()
+	w.reached = w.reached || sent
+	if e := w.body.failure(); e != nil {
+		w.end(call, choice.Cancelled{})
+		return w.bodyResult(e), false
+	}
+	if r := w.ended(); r != nil {
+		w.endOver(call, r, sent)
+		return r, false
+	}
+	if !sent {
+		return w.unsent(call, err)
+	}
+	w.end(call, choice.Failed{})
+	if s.Load() == isAbandoned {
+		return abandoned{}, false
+	}
+	return broken{}, false
+}
+
+// unsent judges a round trip of which no byte was written.
+func (w *work) unsent(call choice.Call, err error) (result, bool) {
+	if !errors.Is(err, pool.ErrLate) && w.body.again() {
+		return nil, true
+	}
+	w.end(call, choice.NotSent{})
+	if errors.Is(err, pool.ErrLate) {
+		return expired{}, false
+	}
+	return notSent{}, false
+}
+
+// endOver ends a call whose exchange is over.
+func (w *work) endOver(call choice.Call, r result, sent bool) {
+	_, late := r.(expired)
+	switch {
+	case !sent:
+		w.end(call, choice.NotSent{})
+	case late:
+		w.end(call, choice.TimedOut{})
+	default:
+		w.end(call, choice.Cancelled{})
+	}
+}
+
+// head judges an answer by its head, and passes it on.
+func (w *work) head(call choice.Call, c *pool.Conn, s *state, a *http.Response) result {
+	if !s.CompareAndSwap(waiting, hasAnswer) {
+		w.reached = true
+		c.Close()
+		w.end(call, choice.Failed{})
+		return abandoned{}
+	}
+	first := c.FirstByte()
+	c.Answered(first)
+	if a.Header.Get(load.RunHeader) == load.NotRun {
+		w.finish(c, a)
+		w.end(call, choice.Shed{})
+		return shed{retryAfter: retryAfter(a.Header)}
+	}
+	w.reached = true
+	if a.StatusCode == http.StatusSwitchingProtocols {
+		c.Close()
+		w.end(call, choice.Failed{})
+		return broken{}
+	}
+	return w.pass(answered{response: a, conn: c, call: call, first: first})
+}
+
+// finish reads the short rest of an answer, so that its connection can be used
+// again.
+func (w *work) finish(c *pool.Conn, a *http.Response) {
+	if _, err := io.CopyN(io.Discard, a.Body, bufferSize); err != io.EOF {
+		c.Close()
+		return
+	}
+	c.Release()
+}
+
+// retryAfter returns the server's Retry-After in seconds, or 0.
+func retryAfter(h http.Header) time.Duration {
+	n, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || n < 0 || n > 3600 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
--- a/lentilbend/internal/caller/handler.go
+++ b/lentilbend/internal/caller/handler.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"lentilbend.example/lentilbend/internal/exchange"
@@ -15,6 +16,17 @@
 	Store *store.Store
 	// Next is the row of filters.
 	Next exchange.Handler
+	// HeaderLimit is the largest header of a request, in bytes.
+	HeaderLimit int
+	// Metrics takes what became of each request; it may be nil.
+	Metrics *Metrics
+
+	leaving atomic.Bool
+}
+
+// Leave makes every further answer ask the caller to use another connection.
+func (h *Handler) Leave() {
+	h.leaving.Store(true)
 }
 
 // ServeHTTP passes the request to the filters.
@@ -25,14 +37,43 @@
 		Received: time.Now(),
 		Table:    h.Store.Table(),
 	}
+	if h.leaving.Load() {
+		w.Header()["Connection"] = closeConnection
+	}
+	if h.Metrics != nil {
+		defer h.Metrics.ended(x)
+	}
+	if f := h.check(x); f != nil {
+		x.Refuse(*f)
+		return
+	}
+	h.Next.Serve(x)
+}
+
+// closeConnection ends an HTTP/1.1 connection after its answer, and makes the
+// library announce the end of an HTTP/2 connection (GOAWAY).
+var closeConnection = []string{"close"}
+
+// check returns why a request is refused before any filter, or nil.
+func (h *Handler) check(x *exchange.Exchange) *exchange.Refusal {
 	if x.Table == nil {
-		x.Refuse(exchange.Refusal{
-			Status:     http.StatusServiceUnavailable,
-			Run:        exchange.NotRun,
+		return &exchange.Refusal{
+			Status: http.StatusServiceUnavailable, Run: exchange.NotRun, Cause: exchange.CauseNoTable,
 			Reason:     "No table is known yet.",
 			RetryAfter: time.Second,
-		})
-		return
+		}
 	}
-	h.Next.Serve(x)
+	if headerSize(x.Request) > h.HeaderLimit {
+		return &exchange.Refusal{
+			Status: http.StatusRequestHeaderFieldsTooLarge, Run: exchange.NotRun, Cause: exchange.CauseTooLarge,
+			Reason: "The request's header is too large.",
+		}
+	}
+	if wantsOther(x.Request) {
+		return &exchange.Refusal{
+			Status: http.StatusNotImplemented, Run: exchange.NotRun, Cause: exchange.CauseNotHandled,
+			Reason: "Tunnels, traces and changes of protocol are not offered.",
+		}
+	}
+	return nil
 }
--- a/lentilbend/internal/exchange/exchange.go
+++ b/lentilbend/internal/exchange/exchange.go
@@ -27,6 +27,29 @@
 	Workspace *table.Workspace
 	// Row is what Workspace may take of Service; nil when it has none.
 	Row *table.Row
+	// Secret is the key that came with the request, also one that is not in
+	// force.
+	Secret Secret
+	// Status is that of the answer or refusal; 0 before it is known.
+	Status int
+	// Refused is the refusal that ended the exchange, or nil.
+	Refused *Refusal
+	// Headed is when the head of the answer was passed on.
+	Headed time.Time
+	// Aborted says that the caller's connection or stream was reset.
+	Aborted bool
+	// Attempts counts how often the request was sent to a backend server.
+	Attempts int
+	// Spent is how long the exchange waited for backend servers.
+	Spent time.Duration
+}
+
+// refusalTimeout is how long a caller may take to read a refusal.
+const refusalTimeout = 10 * time.Second
+
+// LimitWriting ends writes to the caller that last beyond t.
+func (x *Exchange) LimitWriting(t time.Time) {
+	_ = http.NewResponseController(x.Writer).SetWriteDeadline(t)
 }
 
 // Handler serves an exchange.
--- a/lentilbend/internal/exchange/refusal.go
+++ b/lentilbend/internal/exchange/refusal.go
@@ -22,12 +22,32 @@
 	RunUnknown Run = "unknown"
 )
 
+// Cause names why a request was refused, for metrics. Filters of other parts
+// may leave it empty.
+type Cause string
+
+// Causes of refusals on the way from the caller to the backend server.
+const (
+	CauseNoTable    Cause = "no-table"
+	CauseMalformed  Cause = "malformed"
+	CauseTooLarge   Cause = "too-large"
+	CauseNoRoute    Cause = "no-route"
+	CauseNoKey      Cause = "no-key"
+	CauseDeadline   Cause = "deadline"
+	CauseNoServer   Cause = "no-server"
+	CauseShed       Cause = "shed"
+	CauseBroken     Cause = "broken"
+	CauseNotHandled Cause = "not-implemented"
+)
+
 // Refusal ends an exchange without an answer of a backend server.
 type Refusal struct {
 	Status int
 	Run    Run
 	// Reason is a short text for people; it holds nothing of the request.
 	Reason string
+	// Cause is the short name of the reason, one of the constants below.
+	Cause Cause
 	// RetryAfter is how long a caller should wait; 0 when waiting is no help.
 	RetryAfter time.Duration
 }
@@ -43,6 +63,8 @@
 
 // Refuse writes the refusal as application/problem+json.
 func (x *Exchange) Refuse(r Refusal) {
+	x.Status, x.Refused = r.Status, &r
+	x.LimitWriting(time.Now().Add(refusalTimeout))
 	h := x.Writer.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Cache-Control", "no-store")
--- /dev/null
+++ b/lentilbend/internal/exchange/secret.go
@@ -0,0 +1,59 @@
+package exchange
+
+import (
+	"net/url"
+	"strings"
+)
+
+// Secret is the key that came with a request. It shows itself nowhere.
+type Secret struct {
+	value string
+}
+
+// NewSecret returns a secret that holds a key.
+func NewSecret(key string) Secret {
+	return Secret{value: key}
+}
+
+// String hides the key.
+func (Secret) String() string {
+	return "[hidden]"
+}
+
+// GoString hides the key.
+func (Secret) GoString() string {
+	return "[hidden]"
+}
+
+// In reports whether s holds the key, as it is or percent-encoded.
+func (k Secret) In(s string) bool {
+	if k.value == "" || len(s) < len(k.value) {
+		return false
+	}
+	if strings.Contains(s, k.value) {
+		return true
+	}
+	if !strings.ContainsAny(s, "%+") {
+		return false
+	}
+	return strings.Contains(decode(s), k.value) ||
+		strings.Contains(decode(strings.ReplaceAll(s, "+", " ")), k.value)
+}
+
+// decode resolves every valid percent-encoding, also in a text that has
+// invalid ones.
+func decode(s string) string {
+	if d, err := url.PathUnescape(s); err == nil {
+		return d
+	}
+	var b strings.Builder
+	for i := 0; i < len(s); i++ {
+		if d, err := url.PathUnescape(s[i:min(i+3, len(s))]); s[i] == '%' && err == nil {
+			b.WriteString(d)
+			i += 2
+			continue
+		}
+		b.WriteByte(s[i])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/lentilbend/internal/exchange/timeout.go
@@ -0,0 +1,64 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers that travel with a request along a chain of calls.
+const (
+	// TimeoutHeader holds the time that the sender still waits, such as
+	// "250ms".
+	TimeoutHeader = "Request-Timeout"
+	// AttemptHeader counts from 1 how often the request was sent.
+	AttemptHeader = "Request-Attempt"
+)
+
+// Bounds of the headers' values.
+const (
+	timeoutLongest = 24 * time.Hour
+	attemptMost    = 1000
+)
+
+// Timeout returns the time that the caller waits; false when it names none.
+// The error tells what is wrong with the header.
+func Timeout(h http.Header) (time.Duration, bool, error) {
+	vs := h[TimeoutHeader]
+	if len(vs) == 0 {
+		return 0, false, nil
+	}
+	if len(vs) > 1 {
+		return 0, false, fmt.Errorf("exchange: %s stands %d times", TimeoutHeader, len(vs))
+	}
+	d, err := time.ParseDuration(vs[0])
+	if err != nil || d < 0 || d > timeoutLongest {
+		return 0, false, fmt.Errorf("exchange: %s must be a duration such as \"250ms\", at most %s",
+			TimeoutHeader, timeoutLongest)
+	}
+	return d, true, nil
+}
+
+// FormatTimeout returns the header's value for the time left, rounded down to
+// microseconds.
+func FormatTimeout(d time.Duration) string {
+	if d >= time.Second || d < time.Millisecond {
+		return strconv.FormatInt(d.Microseconds(), 10) + "us"
+	}
+	return strconv.FormatInt(d.Milliseconds(), 10) + "ms"
+}
+
+// Attempt returns the number of the attempt, 1 when the header is absent. A
+// malformed header counts as a repeated attempt, which is not repeated again.
+func Attempt(h http.Header) int {
+	vs := h[AttemptHeader]
+	if len(vs) == 0 {
+		return 1
+	}
+	n, err := strconv.Atoi(vs[0])
+	if err != nil || len(vs) > 1 || n < 1 || n > attemptMost {
+		return attemptMost
+	}
+	return n
+}
--- a/lentilbend/internal/filter/key/key.go
+++ b/lentilbend/internal/filter/key/key.go
@@ -1,4 +1,5 @@
-// Package key finds the workspace that a request's key belongs to.
+// Package key finds the workspace that a request's key belongs to, and takes
+// the key out of the request.
 package key
 
 import (
@@ -20,9 +21,10 @@
 // route must be known before it.
 type Filter struct{}
 
-// Filter sets the workspace and row of x.
+// Filter sets the workspace and row of x and takes the key out of the request.
 func (Filter) Filter(x *exchange.Exchange, next exchange.Handler) {
 	k, ok := Parse(x.Request.Header)
+	x.Secret = exchange.NewSecret(k)
 	if ok {
 		x.Workspace, ok = x.Table.KeyHolder(table.NewDigest(k))
 	}
@@ -30,10 +32,20 @@
 		x.Refuse(exchange.Refusal{
 			Status: http.StatusUnauthorized,
 			Run:    exchange.NotRun,
+			Cause:  exchange.CauseNoKey,
 			Reason: "The request has no key in force.",
 		})
 		return
 	}
+	if !Strip(x.Request, x.Secret) {
+		x.Refuse(exchange.Refusal{
+			Status: http.StatusBadRequest,
+			Run:    exchange.NotRun,
+			Cause:  exchange.CauseMalformed,
+			Reason: "The key stands in the path, method or host.",
+		})
+		return
+	}
 	if ok {
 		x.Row, _ = x.Service.Row(x.Workspace.Name)
 	}
@@ -42,12 +54,12 @@
 
 // Parse returns the key of the only Authorization header.
 func Parse(h http.Header) (string, bool) {
-	vs := h.Values("Authorization")
+	vs := h["Authorization"]
 	if len(vs) != 1 {
 		return "", false
 	}
 	s, k, ok := strings.Cut(vs[0], " ")
-	k = strings.TrimLeft(k, " ")
+	k = strings.Trim(k, " ")
 	if !ok || !strings.EqualFold(s, scheme) || k == "" || len(k) > MaxLength {
 		return "", false
 	}
--- /dev/null
+++ b/lentilbend/internal/serve/path.go
@@ -0,0 +1,66 @@
+package serve
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"lentilbend.example/lentilbend/internal/backend"
+	"lentilbend.example/lentilbend/internal/caller"
+	"lentilbend.example/lentilbend/internal/exchange"
+	"lentilbend.example/lentilbend/internal/filter/key"
+	"lentilbend.example/lentilbend/internal/filter/route"
+	"lentilbend.example/lentilbend/internal/pool"
+)
+
+// connectionsAtMost bounds the connections to one backend server until its
+// fleet-wide limit is known here.
+const connectionsAtMost = 200
+
+// buildPath makes the parts between callers and backend servers.
+func (p *Process) buildPath() error {
+	p.pools = pool.New(func(netip.AddrPort) int { return connectionsAtMost })
+	p.registry.MustRegister(&pool.Collector{Set: p.pools})
+	p.forwarder = &backend.Forwarder{
+		Pools:     p.pools,
+		Chooser:   backend.Random{},
+		BodyLimit: p.Settings.Limits.Body,
+	}
+	p.registry.MustRegister(p.forwarder)
+	p.caller = &caller.Server{
+		Settings: p.Settings.Caller,
+		Sizes:    p.Settings.Limits,
+		Handler: &caller.Handler{
+			Store:       p.store,
+			Next:        p.filters(),
+			HeaderLimit: p.Settings.Limits.Header,
+			Metrics:     caller.NewMetrics(p.registry),
+		},
+	}
+	return p.caller.Listen()
+}
+
+// filters returns the row that every request passes.
+func (p *Process) filters() exchange.Handler {
+	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{})
+}
+
+// leave ends the callers' connections without cutting a request: a wait in
+// which each answer asks the caller to go, then the end of what still runs.
+func (p *Process) leave() error {
+	s := p.Settings.Stop
+	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", s.Wait, "open", p.caller.Open())
+	p.caller.Leave()
+	time.Sleep(s.Wait)
+	_ = level.Info(p.logger).Log("msg", "Listening ends.", "open", p.caller.Open())
+	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
+	defer cancel()
+	if err := p.caller.Shutdown(ctx); err != nil {
+		_ = level.Warn(p.logger).Log("msg", "Requests were cut.", "open", p.caller.Open(), "err", err)
+		return err
+	}
+	_ = level.Info(p.logger).Log("msg", "Stopped.")
+	return nil
+}
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -21,12 +20,10 @@
 
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
-	"lentilbend.example/lentilbend/internal/exchange"
-	"lentilbend.example/lentilbend/internal/filter/key"
-	"lentilbend.example/lentilbend/internal/filter/route"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/pool"
 	"lentilbend.example/lentilbend/internal/settings"
 	"lentilbend.example/lentilbend/internal/store"
 )
@@ -49,7 +46,11 @@
 	watcher  *platform.Watcher
 	caller   *caller.Server
 	operator *operator.Server
-	stopping atomic.Bool
+	registry *prometheus.Registry
+	// pools and forwarder lead to the backend servers.
+	pools     *pool.Set
+	forwarder *backend.Forwarder
+	stopping  atomic.Bool
 }
 
 // Run serves until SIGTERM or SIGINT and a planned stop, or until a part
@@ -71,6 +72,7 @@
 	run(func() error { return p.timer.Run(ctx) })
 	run(func() error { return p.watcher.Run(ctx) })
 	run(p.operator.Run)
+	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
 	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
 	signals := make(chan os.Signal, 2)
@@ -98,27 +100,23 @@
 		Store:  p.store,
 		Logger: p.root.Part("platform"),
 	}
-	p.caller = &caller.Server{
-		Settings: s.Caller,
-		Sizes:    s.Limits,
-		Handler:  &caller.Handler{Store: p.store, Next: p.filters()},
+	p.registry = prometheus.NewRegistry()
+	if err := p.buildPath(); err != nil {
+		return err
 	}
 	p.operator = &operator.Server{
 		Settings: s.Operator,
-		Registry: prometheus.NewRegistry(),
+		Registry: p.registry,
 		Ready:    p.ready,
 		SetLevel: p.root.SetLevel,
-		Parts:    map[string]operator.Dumper{},
+		Parts: map[string]operator.Dumper{
+			"Backend": p.forwarder,
+			"Caller":  p.caller,
+		},
 	}
 	return nil
 }
 
-// filters returns the row that every request passes.
-func (p *Process) filters() exchange.Handler {
-	f := &backend.Forwarder{Transport: &http.Transport{DisableCompression: true}}
-	return exchange.Chain(f, route.Filter{}, key.Filter{})
-}
-
 func (p *Process) ready() error {
 	if p.stopping.Load() {
 		return errors.New("a planned stop has begun")
@@ -134,14 +132,8 @@
 func (p *Process) stop(signals <-chan os.Signal) error {
 	p.stopping.Store(true)
 	_ = p.bus.Publish(event.Stopping{})
-	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", p.Settings.Stop.Wait)
 	done := make(chan error, 1)
-	go func() {
-		time.Sleep(p.Settings.Stop.Wait)
-		ctx, cancel := context.WithTimeout(context.Background(), p.Settings.Stop.Timeout)
-		defer cancel()
-		done <- p.caller.Shutdown(ctx)
-	}()
+	go func() { done <- p.leave() }()
 	select {
 	case err := <-done:
 		return err
