--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -33,12 +33,14 @@
 		Settings: p.Settings.Caller,
 		Sizes:    p.Settings.Limits,
 		Handler: &caller.Handler{
-			Store:       p.store,
+			Table:       p.table,
 			Next:        p.filters(),
 			HeaderLimit: p.Settings.Limits.Header,
 			Metrics:     caller.NewMetrics(p.registry),
 		},
 	}
+	p.parts["Backend"] = p.forwarder
+	p.parts["Caller"] = p.caller
 	return p.caller.Listen()
 }
 
