--- /dev/null
+++ b/lentilbend/internal/backend/answer_test.go
@@ -0,0 +1,128 @@
+package backend_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+)
+
+var _ = Describe("answers", func() {
+	It("refuses a short answer that breaks off, or tries elsewhere", func() {
+		short := saysAndCloses("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+		s, other := newServer(short), newServer(says(okAnswer))
+		e := newEntry(s.address(), other.address())
+		a, _ := e.do("GET", "/sale/1", "")
+		refused(a, 502, exchange.RunUnknown)
+		a, body := e.do("GET", "/read/1", "")
+		Expect(a.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("ok"))
+	})
+
+	DescribeTable("cuts an answer that breaks off visibly", func(head string, h2 bool) {
+		s := newServer(saysAndCloses(head + strings.Repeat("x", 50_000)))
+		e := newEntry(s.address())
+		t := &http.Transport{Protocols: new(http.Protocols)}
+		t.Protocols.SetHTTP1(!h2)
+		t.Protocols.SetUnencryptedHTTP2(h2)
+		DeferCleanup(t.CloseIdleConnections)
+		e.Client().Transport = t
+		a, err := e.try("GET", "/read/1", "")
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		_, err = io.ReadAll(a.Body)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("HTTP/1.1, by length", "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", false),
+		Entry("HTTP/1.1, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n", false),
+		Entry("HTTP/2, by length", "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", true),
+		Entry("HTTP/2, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n", true),
+	)
+
+	DescribeTable("passes answers without a body on", func(method, head string, status int, length string) {
+		e := newEntry(newServer(says(head)).address())
+		for range 3 {
+			a, body := e.do(method, "/read/1", "")
+			Expect(a.StatusCode).To(Equal(status))
+			Expect(body).To(BeEmpty())
+			Expect(a.Header.Get("Content-Length")).To(Equal(length))
+		}
+	},
+		Entry("HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 70\r\n\r\n", 200, "70"),
+		Entry("204", "GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, ""),
+		Entry("304", "GET", "HTTP/1.1 304 Not Modified\r\nEtag: \"1\"\r\n\r\n", 304, ""),
+		Entry("empty", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, "0"),
+	)
+
+	It("passes early hints and trailers on", func() {
+		e := newEntry(newServer(says("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\n\r\n")).address())
+		var hints []string
+		r, err := http.NewRequest("GET", e.URL+"/read/1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Header.Set("Authorization", "Bearer "+goodKey)
+		r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+			Got1xxResponse: func(c int, h textproto.MIMEHeader) error {
+				hints = append(hints, fmt.Sprint(c, h.Get("Link")))
+				return nil
+			},
+		}))
+		a, err := e.Client().Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		b, err := io.ReadAll(a.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(b)).To(Equal("ok"))
+		Expect(a.Trailer.Get("X-Sum")).To(Equal("7"))
+		Expect(hints).To(Equal([]string{"103</a>"}))
+		Expect(a.Header).NotTo(HaveKey("Link"))
+	})
+
+	It("flushes a stream as it comes", func() {
+		next := make(chan struct{})
+		e := newEntry(newServer(func(c net.Conn, _ int, _ *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\none\n\r\n")
+			<-next
+			_, _ = io.WriteString(c, "4\r\ntwo\n\r\n0\r\n\r\n")
+			return true
+		}).address())
+		a, err := e.try("GET", "/read/1", "")
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		b := bufio.NewReader(a.Body)
+		Expect(b.ReadString('\n')).To(Equal("one\n"))
+		close(next)
+		Expect(b.ReadString('\n')).To(Equal("two\n"))
+	})
+
+	It("gives each of many callers its own answer", func() {
+		echo := func(c net.Conn, _ int, r *http.Request, body string) bool {
+			t := r.URL.Path + body
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(t), t)
+			return err == nil
+		}
+		e := newEntry(newServer(echo).address())
+		done := make(chan string, 50)
+		for i := range 50 {
+			go func() {
+				defer GinkgoRecover()
+				p := fmt.Sprintf("/sale/%d", i)
+				_, body := e.do("POST", p, strings.Repeat("y", i))
+				Expect(body).To(Equal(p + strings.Repeat("y", i)))
+				done <- p
+			}()
+		}
+		for range 50 {
+			Eventually(done, "5s").Should(Receive())
+		}
+	})
+})
--- /dev/null
+++ b/lentilbend/internal/backend/order_test.go
@@ -0,0 +1,28 @@
+package backend_test
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"lentilbend.example/internal/choice"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+)
+
+// inOrder chooses the first server that was not tried.
+type inOrder struct{}
+
+func (inOrder) Choose(_ time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, bool) {
+	for _, s := range x.Service.Servers {
+		if !slices.Contains(tried, s.Address) {
+			return call(s.Address), true
+		}
+	}
+	return nil, false
+}
+
+type call netip.AddrPort
+
+func (c call) Server() netip.AddrPort      { return netip.AddrPort(c) }
+func (call) End(time.Time, choice.Outcome) {}
--- /dev/null
+++ b/lentilbend/internal/backend/request_test.go
@@ -0,0 +1,133 @@
+package backend_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+)
+
+var _ = Describe("requests", func() {
+	It("takes the key out wherever it stands", func() {
+		s := newServer(says(okAnswer))
+		e := newEntry(s.address())
+		body, w := io.Pipe()
+		r, err := http.NewRequest("POST", e.URL+"/sale/1?a=1&k="+goodKey+"&b=the%2Dgood%2dkey&c=2", body)
+		Expect(err).NotTo(HaveOccurred())
+		r.Trailer = http.Header{"X-T": {goodKey}, "X-U": {"kept"}}
+		r.Header = http.Header{
+			"Authorization": {"Bearer " + goodKey},
+			"Cookie":        {"a=b; s=" + goodKey + "; c=d"},
+			"X-Copy":        {"x" + goodKey},
+			"X-Encoded":     {"the%2dgood-key"},
+			"X-Other":       {"kept"},
+		}
+		go func() {
+			_, _ = io.WriteString(w, "body")
+			_ = w.Close()
+		}()
+		a, err := e.Client().Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Body.Close()).To(Succeed())
+		Expect(a.StatusCode).To(Equal(200))
+		got, _ := s.last()
+		Expect(fmt.Sprint(got.Header, got.URL, got.Trailer)).NotTo(MatchRegexp("(?i)good|%2d|bearer"))
+		Expect(got.Header.Get("X-Other")).To(Equal("kept"))
+		Expect(got.Header.Get("Cookie")).To(Equal("a=b; c=d"))
+		Expect(got.URL.RawQuery).To(Equal("a=1&c=2"))
+		Expect(got.Trailer.Get("X-U")).To(Equal("kept"))
+	})
+
+	It("refuses the key in the path", func() {
+		s := newServer(says(okAnswer))
+		a, _ := newEntry(s.address()).do("GET", "/read/"+goodKey, "")
+		refused(a, 400, exchange.NotRun)
+		Expect(s.runs()).To(BeZero())
+	})
+
+	It("takes a key off an open route too", func() {
+		s := newServer(says(okAnswer))
+		a, _ := newEntry(s.address()).do("GET", "/open/1", "", "Authorization", "Bearer withdrawn", "X-Copy", "withdrawn")
+		Expect(a.StatusCode).To(Equal(200))
+		r, _ := s.last()
+		Expect(fmt.Sprint(r.Header)).NotTo(ContainSubstring("withdrawn"))
+	})
+
+	It("refuses a key withdrawn while its connection is open", func() {
+		s := newServer(says(okAnswer))
+		e := newEntry(s.address())
+		a, _ := e.do("GET", "/read/1", "")
+		Expect(a.StatusCode).To(Equal(200))
+		e.table = newTable("another-key", s.address())
+		a, _ = e.do("GET", "/read/1", "")
+		refused(a, 401, exchange.NotRun)
+		Expect(s.runs()).To(Equal(1))
+	})
+
+	It("removes fields of the connection and adds where the request came from", func() {
+		s := newServer(says(okAnswer))
+		newEntry(s.address()).do("GET", "/read/1", "", "Connection", "X-Hop", "X-Hop", "1",
+			"Keep-Alive", "5", "Te", "trailers", "Proxy-Authorization", "x", "X-Forwarded-For", "192.0.2.1")
+		r, _ := s.last()
+		for _, n := range []string{"X-Hop", "Keep-Alive", "Proxy-Authorization", "Connection"} {
+			Expect(r.Header).NotTo(HaveKey(n))
+		}
+		Expect(r.Header.Get("Te")).To(Equal("trailers"))
+		Expect(r.Header.Get("X-Forwarded-For")).To(Equal("192.0.2.1, 127.0.0.1"))
+		Expect(r.Header.Get("X-Forwarded-Proto")).To(Equal("http"))
+	})
+
+	DescribeTable("refuses what must not be sent on",
+		func(method, path string, status int, header ...string) {
+			s := newServer(says(okAnswer))
+			a, _ := newEntry(s.address()).do(method, path, "", header...)
+			refused(a, status, exchange.NotRun)
+			Expect(s.runs()).To(BeZero())
+		},
+		Entry("a change of protocol", "GET", "/read/1", 501, "Connection", "Upgrade", "Upgrade", "websocket"),
+		Entry("a trace", "TRACE", "/read/1", 501),
+		Entry("no route", "GET", "/none/", 404),
+		Entry("a dot segment", "GET", "/open/%2e%2e/sale/1", 400),
+		Entry("an encoded slash that changes the route", "GET", "/open%2f1", 400),
+		Entry("an empty segment", "GET", "/read//1", 400),
+		Entry("a malformed timeout", "GET", "/read/1", 400, exchange.TimeoutHeader, "soon"),
+		Entry("a large header", "GET", "/read/1", 431, "X-Large", strings.Repeat("x", headerLimit)),
+		Entry("an unknown key", "GET", "/read/1", 401, "Authorization", "Bearer none"),
+		Entry("another scheme", "GET", "/read/1", 401, "Authorization", "Basic "+goodKey),
+	)
+
+	It("refuses a body over the limit", func() {
+		s := newServer(says(okAnswer))
+		e := newEntry(s.address())
+		a, _ := e.do("POST", "/sale/1", strings.Repeat("x", bodyLimit+1))
+		refused(a, 413, exchange.NotRun)
+		r, err := http.NewRequest("POST", e.URL+"/sale/1", io.LimitReader(zeros{}, bodyLimit+1))
+		Expect(err).NotTo(HaveOccurred())
+		r.Header.Set("Authorization", "Bearer "+goodKey)
+		a, err = e.Client().Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		refused(a, 413, exchange.RunUnknown)
+		Expect(s.runs()).To(BeZero())
+	})
+
+	It("passes a body of the largest size on", func() {
+		s := newServer(says(okAnswer))
+		a, _ := newEntry(s.address()).do("POST", "/sale/1", strings.Repeat("x", bodyLimit))
+		Expect(a.StatusCode).To(Equal(200))
+		_, body := s.last()
+		Expect(body).To(HaveLen(bodyLimit))
+	})
+})
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
