Wire the choice, the sharing and the pools into one row

Change: the row is route, key, share, forwarder; the forwarder asks the chooser; the hub hands frames to membership, relay and the news of servers.

--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -197,6 +197,6 @@
 }
 
 // usable says whether a server may get new work at all.
-func (v *server) usable(tried []netip.AddrPort) bool {
-	return !v.out && !v.leaving && !slices.Contains(tried, v.address)
+func (s *server) usable(tried []netip.AddrPort) bool {
+	return !s.out && !s.leaving && !slices.Contains(tried, s.address)
 }
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -9,14 +9,14 @@
 // List takes in an own read of the platform's list, sent at sent. An answer
 // with a lower revision than before comes from a reader that lags, and is left
 // out, unless only such answers came for longer than Outage.
-func (n *Node) List(now, sent time.Time, revision uint64, vms []Vm) []Send {
+func (n *Node) List(now, sent time.Time, revision uint64, vms []VM) []Send {
 	n.begin(now)
 	n.settle(now)
 	if !n.accept(sent, revision) {
 		return n.due(now)
 	}
 	gap := sent.Sub(n.list.sent) > n.Promise
-	l := list{sent: sent, revision: revision, vms: make(map[netip.AddrPort]Vm, len(vms))}
+	l := list{sent: sent, revision: revision, vms: make(map[netip.AddrPort]VM, len(vms))}
 	for _, v := range vms {
 		l.vms[v.Address] = v
 		l.self = l.self || v.Address == n.Self.Address
@@ -52,7 +52,7 @@
 	return sent.Sub(l.lower) > n.Outage
 }
 
-func (n *Node) listed(now time.Time, a netip.AddrPort, v Vm) {
+func (n *Node) listed(now time.Time, a netip.AddrPort, v VM) {
 	if a == n.Self.Address {
 		return
 	}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -46,8 +46,8 @@
 	Leaving bool
 }
 
-// Vm is an entry VM in the platform's list.
-type Vm struct {
+// VM is an entry VM in the platform's list.
+type VM struct {
 	Address    netip.AddrPort
 	DataCentre string
 	Leaving    bool
@@ -112,7 +112,7 @@
 type list struct {
 	sent     time.Time
 	revision uint64
-	vms      map[netip.AddrPort]Vm
+	vms      map[netip.AddrPort]VM
 	self     bool
 	// lower is since when all answers had a lower revision.
 	lower time.Time
--- a/lentilbend/internal/fleet/fleet.go
+++ b/lentilbend/internal/fleet/fleet.go
@@ -119,7 +119,7 @@
 }
 
 // List takes an own read of the platform's list, sent at sent.
-func (f *Fleet) List(sent time.Time, revision uint64, vms []member.Vm) {
+func (f *Fleet) List(sent time.Time, revision uint64, vms []member.VM) {
 	f.do(time.Now(), func(now time.Time) []member.Send { return f.Node.List(now, sent, revision, vms) })
 }
 
--- a/lentilbend/internal/serve/fleet.go
+++ b/lentilbend/internal/serve/fleet.go
@@ -50,7 +50,8 @@
 // list.
 func (p *Process) joinFleet() {
 	p.hub.Answer = p.relay.Answer
-	p.hub.Handlers = []peer.Handler{p.fleet, p.relay}
+	news := &loadNews{services: p.services, peers: p.hub}
+	p.hub.Handlers = []peer.Handler{p.fleet, p.relay, news}
 	p.reader.OnList = p.onList
 }
 
@@ -70,10 +71,10 @@
 // onList hands an own read of the list to the membership.
 func (p *Process) onList(sent time.Time, a *platformpb.VmsAnswer) {
 	l := platform.Convert(a)
-	var vs []member.Vm
+	var vs []member.VM
 	for _, v := range l.VMs {
 		if v.Role == platform.RoleEntry {
-			vs = append(vs, member.Vm{Address: v.Address, DataCentre: v.DataCentre, Leaving: v.Leaving})
+			vs = append(vs, member.VM{Address: v.Address, DataCentre: v.DataCentre, Leaving: v.Leaving})
 		}
 	}
 	p.fleet.List(sent, l.Revision, vs)
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -25,7 +25,7 @@
 	p.registry.MustRegister(&pool.Collector{Set: p.pools})
 	p.forwarder = &backend.Forwarder{
 		Pools:     p.pools,
-		Chooser:   backend.Random{},
+		Chooser:   p.services,
 		BodyLimit: p.Settings.Limits.Body,
 	}
 	p.registry.MustRegister(p.forwarder)
@@ -46,7 +46,7 @@
 
 // filters returns the row that every request passes.
 func (p *Process) filters() exchange.Handler {
-	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{})
+	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.share)
 }
 
 // leave ends the callers' connections without cutting a request: a wait in
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -21,18 +21,9 @@
 
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
-<<<<<<< HEAD
 	"lentilbend.example/lentilbend/internal/chooser"
-	"lentilbend.example/lentilbend/internal/exchange"
-	"lentilbend.example/lentilbend/internal/filter/key"
-	"lentilbend.example/lentilbend/internal/filter/route"
-<<<<<<< HEAD
-	"lentilbend.example/lentilbend/internal/fleet"
-=======
 	"lentilbend.example/lentilbend/internal/filter/share"
->>>>>>> choice
-=======
->>>>>>> path
+	"lentilbend.example/lentilbend/internal/fleet"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/peer"
@@ -99,7 +90,7 @@
 	run(func() error { return p.fleet.Run(ctx) })
 	run(func() error { return p.reader.Run(ctx) })
 	run(func() error { return p.relay.Run(ctx) })
-	run(func() error { return p.runChoice(ctx, noPeers{}) })
+	run(func() error { return p.runChoice(ctx, p.hub) })
 	run(p.operator.Run)
 	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
@@ -129,20 +120,10 @@
 	p.parts = map[string]operator.Dumper{}
 	p.buildFleet()
 	p.buildConfig()
-<<<<<<< HEAD
-<<<<<<< HEAD
-	p.joinFleet()
-=======
 	p.buildChoice()
->>>>>>> choice
-	p.caller = &caller.Server{
-		Settings: s.Caller,
-		Sizes:    s.Limits,
-		Handler:  &caller.Handler{Table: p.table, Next: p.filters()},
-=======
+	p.joinFleet()
 	if err := p.buildPath(); err != nil {
 		return err
->>>>>>> path
 	}
 	p.operator = &operator.Server{
 		Settings: s.Operator,
@@ -154,15 +135,6 @@
 	return nil
 }
 
-<<<<<<< HEAD
-// filters returns the row that every request passes.
-func (p *Process) filters() exchange.Handler {
-	f := &backend.Forwarder{Transport: &http.Transport{DisableCompression: true}}
-	return exchange.Chain(f, route.Filter{}, key.Filter{}, p.share)
-}
-
-=======
->>>>>>> path
 func (p *Process) ready() error {
 	if p.stopping.Load() {
 		return errors.New("a planned stop has begun")
