--- a/lentilbend/internal/cli/cli.go
+++ b/lentilbend/internal/cli/cli.go
@@ -31,7 +31,7 @@
 func Run(args []string, out, errs io.Writer) int {
 	p := flaggy.NewParser("lentilbend")
 	p.Description = "load balancer for backend servers whose load shifts in milliseconds"
-	p.Version = Version
+	p.ShowVersionWithVersionFlag = false
 	cs := []command{serveCommand(), checkCommand(), dumpCommand(), versionCommand()}
 	for _, c := range cs {
 		p.AttachSubcommand(c.sub, 1)
--- a/lentilbend/internal/cli/dump.go
+++ b/lentilbend/internal/cli/dump.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -16,33 +19,54 @@
 
 // dumpCommand prints the state of a running process.
 func dumpCommand() command {
-	address := "127.0.0.1:9081"
+	address, authority := "127.0.0.1:9081", ""
 	c := flaggy.NewSubcommand("dump")
 	c.Description = "print the state of a running process"
 	c.String(&address, "o", "operator", "operators' address of the process")
+	c.String(&authority, "a", "authority", "PEM file with the authority of its certificate; turns on TLS")
 	return command{sub: c, run: func(out io.Writer) error {
 		a, err := netip.ParseAddrPort(address)
 		if err != nil {
 			return fmt.Errorf("dump: %w", err)
 		}
-		return dump(out, a)
+		h, scheme, err := client(authority)
+		if err != nil {
+			return fmt.Errorf("dump: %w", err)
+		}
+		return dump(out, h, scheme+"://"+a.String()+"/dump")
 	}}
 }
 
-func dump(out io.Writer, a netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/dump", nil)
+// client returns a client and the scheme to use, TLS when an authority is
+// given.
+func client(authority string) (*http.Client, string, error) {
+	if authority == "" {
+		return &http.Client{Timeout: dumpTimeout}, "http", nil
+	}
+	b, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, "", err
+	}
+	p := x509.NewCertPool()
+	if !p.AppendCertsFromPEM(b) {
+		return nil, "", fmt.Errorf("%s holds no certificate", authority)
+	}
+	t := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: p, MinVersion: tls.VersionTLS12}}
+	return &http.Client{Timeout: dumpTimeout, Transport: t}, "https", nil
+}
+
+func dump(out io.Writer, h *http.Client, url string) error {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("dump: %w", err)
 	}
-	w, err := http.DefaultClient.Do(r)
+	w, err := h.Do(r)
 	if err != nil {
 		return fmt.Errorf("dump: %w", err)
 	}
 	defer func() { _ = w.Body.Close() }()
 	if w.StatusCode != http.StatusOK {
-		return fmt.Errorf("dump: %s answered %s", a, w.Status)
+		return fmt.Errorf("dump: %s answered %s", url, w.Status)
 	}
 	if _, err := io.Copy(out, w.Body); err != nil {
 		return fmt.Errorf("dump: %w", err)
--- a/lentilbend/internal/operator/server.go
+++ b/lentilbend/internal/operator/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,6 +17,9 @@
 	"lentilbend.example/lentilbend/internal/settings"
 )
 
+// headerTimeout is how long an operator's tool may take to send its header.
+const headerTimeout = 10 * time.Second
+
 // Dumper is a part that can show its state. The result is encoded as JSON and
 // must hold no key.
 type Dumper interface {
@@ -39,6 +43,7 @@
 // Run serves until Close.
 func (s *Server) Run() error {
 	s.server.Handler = s.routes()
+	s.server.ReadHeaderTimeout = headerTimeout
 	l, err := net.Listen("tcp", s.Settings.Address.String())
 	if err != nil {
 		return fmt.Errorf("operator: %w", err)
