Forget VMs only on evidence that their own reads must have shown too

Change: a request tells at which list revision the sender is listed, and without that the sender has nothing but promises; digests cover ended processes; a VM without standing waits for the loans and requests of all ended processes.

--- a/internal/member/dump.go
+++ b/internal/member/dump.go
@@ -52,7 +52,7 @@
 // Members returns this VM and those that it counts, in the order of addresses.
 func (n *Node) Members() []Member {
 	ms := []Member{{ID: n.Self, DataCentre: n.DataCentre, Answering: true, Leaving: n.leaving}}
-	for _, p := range n.counts() {
+	for p := range n.counts() {
 		ms = append(ms, Member{
 			ID:         p.id,
 			DataCentre: p.centre,
@@ -77,8 +77,8 @@
 		ListSelf:     n.list.self,
 		Outrun:       n.outrun,
 	}
-	for a, p := range n.peers {
-		_, listed := n.list.vms[a]
+	for _, p := range n.order {
+		_, listed := n.list.vms[p.id.Address]
 		d.Peers = append(d.Peers, PeerDump{
 			ID:           p.id,
 			DataCentre:   p.centre,
@@ -95,7 +95,6 @@
 	for id, t := range n.ghosts {
 		d.Ended = append(d.Ended, EndedDump{ID: id, Until: t})
 	}
-	slices.SortFunc(d.Peers, func(a, b PeerDump) int { return a.ID.Compare(b.ID) })
 	slices.SortFunc(d.Ended, func(a, b EndedDump) int { return a.ID.Compare(b.ID) })
 	return d
 }
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 )
 
@@ -21,14 +20,17 @@
 		l.vms[v.Address] = v
 		l.self = l.self || v.Address == n.Self.Address
 	}
+	if revision < n.list.revision {
+		n.rewind(revision)
+	}
 	n.list = l
-	for a, v := range l.vms {
-		n.listed(now, a, v)
+	for _, v := range vms {
+		n.listed(now, v.Address, v)
 	}
-	for a, p := range n.peers {
-		_, ok := l.vms[a]
+	for _, p := range n.order {
+		_, ok := l.vms[p.id.Address]
 		switch {
-		case ok:
+		case ok, revision+1 < p.listed:
 			p.absent = time.Time{}
 		case p.absent.IsZero() || gap:
 			p.absent = sent
@@ -52,6 +54,13 @@
 	return sent.Sub(l.lower) > n.Outage
 }
 
+// rewind takes note that the platform counts revisions anew.
+func (n *Node) rewind(revision uint64) {
+	for _, p := range n.order {
+		p.listed = min(p.listed, revision+1)
+	}
+}
+
 func (n *Node) listed(now time.Time, a netip.AddrPort, v Vm) {
 	if a == n.Self.Address {
 		return
@@ -59,7 +68,7 @@
 	p := n.peers[a]
 	if p == nil {
 		p = &peer{id: ID{Address: a}, known: now}
-		n.peers[a] = p
+		n.add(p)
 	}
 	p.centre, p.leaving = v.DataCentre, p.leaving || v.Leaving
 }
@@ -73,7 +82,7 @@
 		switch {
 		case a == n.Self.Address:
 		case p == nil:
-			n.peers[a] = &peer{id: ID{Address: a}, known: now}
+			n.add(&peer{id: ID{Address: a}, known: now})
 		default:
 			p.known = now
 		}
@@ -100,10 +109,9 @@
 
 // Addresses returns the addresses of all VMs known besides this one, in order.
 func (n *Node) Addresses() []netip.AddrPort {
-	as := make([]netip.AddrPort, 0, len(n.peers))
-	for a := range n.peers {
-		as = append(as, a)
+	as := make([]netip.AddrPort, 0, len(n.order))
+	for _, p := range n.order {
+		as = append(as, p.id.Address)
 	}
-	slices.SortFunc(as, netip.AddrPort.Compare)
 	return as
 }
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"lentilbend.example/internal/peerpb"
@@ -85,6 +86,8 @@
 	last     time.Time
 	sequence uint64
 	peers    map[netip.AddrPort]*peer
+	// order holds the same peers in the order of addresses.
+	order []*peer
 	// gone holds processes that released their share or were replaced, and
 	// until when to remember that.
 	gone map[ID]time.Time
@@ -100,12 +103,16 @@
 	// stood says that this VM once had standing; forgot that it has forgotten
 	// a VM since it lost it.
 	stood, forgot bool
-	used          time.Time
-	leaving       bool
-	released      time.Time
-	share         Share
-	digest        uint64
-	outrun        uint64
+	// useFrom and runningFrom are from when the own part may be used, as far
+	// as ended processes matter.
+	useFrom, runningFrom time.Time
+	used                 time.Time
+	leaving              bool
+	released             time.Time
+	share                Share
+	selfHash             uint64
+	digest               uint64
+	outrun               uint64
 }
 
 // list is the last own read of the platform's list.
@@ -120,7 +127,9 @@
 
 // peer is what is known of another VM.
 type peer struct {
-	id      ID
+	id ID
+	// hash is the ID's part of a digest.
+	hash    uint64
 	centre  string
 	leaving bool
 	// counted says that the VM is counted until there is evidence that it
@@ -134,6 +143,12 @@
 	// held is when the VM's promise ends; needless is until when none is
 	// needed, because the VM cannot have a share yet.
 	held, needless time.Time
+	// told says that the VM knows that this one is listed, or knows nothing of
+	// that; untold is the last request that said that it is not.
+	told   bool
+	untold uint64
+	// asked and listed are the Request and the Listed of its newest request.
+	asked, listed uint64
 	// useFrom and runningFrom are from when the VM's promise lets this VM use
 	// its own part.
 	useFrom, runningFrom time.Time
@@ -154,6 +169,7 @@
 	sequence uint64
 	sent     time.Time
 	digest   uint64
+	listed   bool
 }
 
 // pendingLimit is how many requests to one VM may still be answered.
@@ -165,10 +181,13 @@
 		return
 	}
 	n.started, n.lostAt = now, now
+	// Loans of an earlier process at this address may still run.
+	n.useFrom = now.Add(n.longer(n.LoanMax))
 	n.peers = map[netip.AddrPort]*peer{}
 	n.gone = map[ID]time.Time{}
 	n.ghosts = map[ID]time.Time{}
-	n.digest = n.hash()
+	n.selfHash = hash(n.Self)
+	n.digest = n.selfHash
 }
 
 // longer returns d as this VM must wait it so that no VM's clock sees less.
@@ -192,7 +211,7 @@
 // its clock may have stood still.
 func (n *Node) Pause(now time.Time) {
 	n.begin(now)
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		p.held, p.needless, p.next = time.Time{}, time.Time{}, time.Time{}
 		p.pending = nil
 	}
@@ -227,3 +246,27 @@
 		n.lostAt = now
 	}
 }
+
+// add makes a process known, in the place of one before at its address.
+func (n *Node) add(p *peer) {
+	p.hash, p.told = hash(p.id), true
+	o := n.peers[p.id.Address]
+	n.peers[p.id.Address] = p
+	if o != nil {
+		n.order[slices.Index(n.order, o)] = p
+		return
+	}
+	i, _ := slices.BinarySearchFunc(n.order, p, comparePeers)
+	n.order = slices.Insert(n.order, i, p)
+}
+
+// remove ends knowing a process.
+func (n *Node) remove(p *peer) {
+	delete(n.peers, p.id.Address)
+	i := slices.Index(n.order, p)
+	n.order = slices.Delete(slices.Clone(n.order), i, i+1)
+}
+
+func comparePeers(a, b *peer) int {
+	return a.id.Address.Compare(b.id.Address)
+}
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -42,7 +42,7 @@
 	p := n.peers[id.Address]
 	if p == nil {
 		p = &peer{id: id, known: now}
-		n.peers[id.Address] = p
+		n.add(p)
 		return p
 	}
 	if id.Incarnation < p.id.Incarnation {
@@ -58,12 +58,12 @@
 // ended because an address belongs to one process.
 func (n *Node) replace(now time.Time, p *peer, id ID) *peer {
 	o := &peer{id: id, known: now, centre: p.centre, leaving: p.leaving, derived: p.derived}
-	n.peers[id.Address] = o
+	n.add(o)
 	if p.id.Incarnation == 0 {
 		return o
 	}
 	if p.counted || p.derived {
-		n.haunt(p.id, n.runningEnd(now, p))
+		n.haunt(now, p.id, n.runningEnd(now, p))
 	}
 	if p.counted {
 		n.count(now, o)
@@ -80,9 +80,14 @@
 	return now.Add(n.longer(n.RunningMax))
 }
 
-func (n *Node) haunt(id ID, until time.Time) {
-	if until.After(n.ghosts[id]) {
-		n.ghosts[id] = until
+// haunt goes on counting an ended process for running requests. Without
+// standing, this VM also waits for them and for the loans: they may be from
+// before this VM was counted.
+func (n *Node) haunt(now time.Time, id ID, until time.Time) {
+	n.ghosts[id] = latest(n.ghosts[id], until)
+	if !n.standing {
+		n.useFrom = latest(n.useFrom, now.Add(n.longer(n.LoanMax)))
+		n.runningFrom = latest(n.runningFrom, until)
 	}
 }
 
@@ -128,19 +133,15 @@
 	p.seen = m.GetDigest()
 	for _, e := range m.GetView() {
 		id, ok := decode(e)
-		if !ok {
-			continue
-		}
-		if id.Address == n.Self.Address {
+		switch t := milliseconds(e.GetRunningOnly()); {
+		case !ok:
+		case t > 0 && !n.standing:
+			n.haunt(now, id, now.Add(n.longer(t)))
+		case t > 0:
+		case id.Address == n.Self.Address:
 			n.outrun = max(n.outrun, id.Incarnation)
-			continue
-		}
-		if e.GetRunningOnly() == 0 {
+		default:
 			p.view = append(p.view, id)
-			continue
-		}
-		if !n.standing {
-			n.haunt(id, now.Add(n.longer(milliseconds(e.GetRunningOnly()))))
 		}
 	}
 	n.introduce(now, p.view)
@@ -154,7 +155,7 @@
 			continue
 		}
 		if n.peers[id.Address] == nil {
-			n.peers[id.Address] = &peer{id: id, known: now}
+			n.add(&peer{id: id, known: now})
 		}
 	}
 }
@@ -182,6 +183,7 @@
 	p.standing = m.GetStanding()
 	p.useFrom = now.Add(n.longer(milliseconds(m.GetWait())))
 	p.runningFrom = now.Add(n.longer(milliseconds(m.GetRunningWait())))
+	p.told = p.told || r.listed && r.sequence > p.untold
 	if t := r.sent.Add(n.shorter(n.Promise)); t.After(p.held) {
 		p.held = t
 	}
@@ -194,6 +196,9 @@
 	}
 	n.count(now, p)
 	p.granted = now.Add(n.longer(n.Promise))
+	if m.GetRequest() > p.asked {
+		p.asked, p.listed = m.GetRequest(), m.GetListed()
+	}
 	n.settle(now)
 	o := &peerpb.MemberMessage{
 		Grant:       m.GetRequest(),
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -14,12 +14,11 @@
 // due returns the requests that are due, in the order of addresses.
 func (n *Node) due(now time.Time) []Send {
 	var ps []*peer
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		if !now.Before(p.next) {
 			ps = append(ps, p)
 		}
 	}
-	slices.SortFunc(ps, func(a, b *peer) int { return a.id.Compare(b.id) })
 	ss := make([]Send, 0, len(ps))
 	for _, p := range ps {
 		if n.leaving {
@@ -40,7 +39,12 @@
 	if p.seen != n.digest {
 		m.Seen = p.seen
 	}
-	p.pending = append(p.pending, request{sequence: n.sequence, sent: now, digest: n.digest})
+	if n.list.self {
+		m.Listed = n.list.revision + 1
+	} else {
+		p.told, p.untold = false, n.sequence
+	}
+	p.pending = append(p.pending, request{sequence: n.sequence, sent: now, digest: n.digest, listed: n.list.self})
 	if len(p.pending) > pendingLimit {
 		p.pending = p.pending[1:]
 	}
@@ -72,20 +76,23 @@
 // others returns the processes counted besides this one and another.
 func (n *Node) others(but ID) []ID {
 	var ids []ID
-	for _, p := range n.counts() {
+	for p := range n.counts() {
 		if p.id != but {
 			ids = append(ids, p.id)
 		}
 	}
-	slices.SortFunc(ids, ID.Compare)
 	return ids
 }
 
-// hash returns a digest over this VM and those that it counts, in any order.
+// hash returns a digest over this VM, those that it counts and the ended ones
+// that it counts for running requests.
 func (n *Node) hash() uint64 {
-	d := hash(n.Self)
-	for _, p := range n.counts() {
-		d += hash(p.id)
+	d := n.selfHash
+	for p := range n.counts() {
+		d += p.hash
+	}
+	for id := range n.ghosts {
+		d += 3 * hash(id)
 	}
 	return d
 }
--- a/internal/member/settle.go
+++ b/internal/member/settle.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -25,12 +26,12 @@
 // expire drops released VMs, VMs that only were candidates, and what was kept
 // about ended processes.
 func (n *Node) expire(now time.Time) {
-	for a, p := range n.peers {
+	for _, p := range n.order {
 		switch {
 		case !p.dropAt.IsZero() && !now.Before(p.dropAt):
 			n.drop(now, p)
 		case !p.counted && !p.derived && n.idle(now, p):
-			delete(n.peers, a)
+			n.remove(p)
 		}
 	}
 	for id, t := range n.ghosts {
@@ -56,20 +57,20 @@
 // drop ends counting a VM. Its running requests still count until they end.
 func (n *Node) drop(now time.Time, p *peer) {
 	if p.counted || p.derived {
-		n.haunt(p.id, n.runningEnd(now, p))
+		n.haunt(now, p.id, n.runningEnd(now, p))
 	}
 	n.bury(now, p.id)
-	delete(n.peers, p.id.Address)
+	n.remove(p)
 }
 
 // forget ends counting VMs that the platform's list has not shown for long
 // enough and whose promise has ended.
 func (n *Node) forget(now time.Time) {
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		if p.counted && n.forgettable(now, p) {
 			n.forgot = n.forgot || !n.standing
-			n.haunt(p.id, now.Add(n.longer(n.RunningMax)))
-			delete(n.peers, p.id.Address)
+			n.haunt(now, p.id, now.Add(n.longer(n.RunningMax)))
+			n.remove(p)
 		}
 	}
 }
@@ -78,6 +79,9 @@
 	if now.Before(p.granted.Add(n.longer(n.LoanMax))) {
 		return false
 	}
+	if p.asked > 0 && p.listed == 0 {
+		return true
+	}
 	if p.absent.IsZero() || now.Sub(n.list.sent) > n.Promise {
 		return false
 	}
@@ -94,15 +98,15 @@
 	return n.longer(2*n.ListAge + n.Promise)
 }
 
-// counts returns the VMs counted besides this one, in no order.
-func (n *Node) counts() []*peer {
-	ps := make([]*peer, 0, len(n.peers))
-	for _, p := range n.peers {
-		if p.counted || p.derived {
-			ps = append(ps, p)
+// counts yields the VMs counted besides this one, in the order of addresses.
+func (n *Node) counts() iter.Seq[*peer] {
+	return func(yield func(*peer) bool) {
+		for _, p := range n.order {
+			if (p.counted || p.derived) && !yield(p) {
+				return
+			}
 		}
 	}
-	return ps
 }
 
 // majority tells whether more than half of the counted VMs, or half with the
@@ -114,10 +118,9 @@
 // majorityUntil returns until when a majority's promises run, if none is
 // renewed.
 func (n *Node) majorityUntil(now time.Time) time.Time {
-	ps := n.counts()
 	low, lowHeld := n.Self, time.Time{}
-	ts := make([]time.Time, 0, len(ps))
-	for _, p := range ps {
+	ts := make([]time.Time, 0, len(n.order))
+	for p := range n.counts() {
 		ts = append(ts, p.held)
 		if p.id.Compare(low) < 0 {
 			low, lowHeld = p.id, p.held
@@ -125,7 +128,7 @@
 	}
 	slices.SortFunc(ts, func(a, b time.Time) int { return b.Compare(a) })
 	far := now.Add(n.shorter(n.Promise))
-	total := len(ps) + 1
+	total := len(ts) + 1
 	t := far
 	if k := total / 2; k > 0 {
 		t = ts[k-1]
@@ -150,10 +153,10 @@
 // standing count; or, where none with standing answers, all that anybody names.
 func (n *Node) derive(now time.Time) {
 	s := n.sponsored(now)
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		p.derived = false
 	}
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		if !now.Before(p.held) || s && !p.standing {
 			continue
 		}
@@ -172,7 +175,7 @@
 
 // sponsored tells whether a VM with standing promises to count this one.
 func (n *Node) sponsored(now time.Time) bool {
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		if p.standing && now.Before(p.held) {
 			return true
 		}
@@ -197,32 +200,36 @@
 		n.lose(now)
 		return
 	}
-	promised := n.promisedUntil(now)
 	if n.standing {
-		n.until = latest(promised, n.keepUntil(now))
+		n.until = n.promisedUntil(now, n.keepUntil(now))
 		if !now.Before(n.until) {
 			n.lose(now)
 		}
 		return
 	}
+	promised := n.promisedUntil(now, time.Time{})
 	if !now.Before(promised) || !(n.sponsored(now) || n.founding(now) || n.unchanged(now)) {
 		return
 	}
 	n.standing, n.stood, n.until = true, true, promised
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		if p.derived {
 			n.count(now, p)
 		}
 	}
 }
 
-// promisedUntil returns until when every counted VM's promise runs.
-func (n *Node) promisedUntil(now time.Time) time.Time {
+// promisedUntil returns until when every counted VM's promise runs, or none is
+// needed: a VM that knows this one as listed forgets it only after keep.
+func (n *Node) promisedUntil(now, keep time.Time) time.Time {
 	t := now.Add(n.shorter(n.Promise))
-	for _, p := range n.counts() {
-		h := latest(p.held, p.needless)
-		if !n.standing {
-			h = p.held
+	for p := range n.counts() {
+		h := p.held
+		if n.standing {
+			h = latest(h, p.needless)
+		}
+		if p.told {
+			h = latest(h, keep)
 		}
 		if h.Before(t) {
 			t = h
@@ -235,18 +242,11 @@
 // that do not answer: while an own read shows this VM, or, without a readable
 // list, while most VMs answer.
 func (n *Node) keepUntil(now time.Time) time.Time {
-	read := !n.list.sent.IsZero()
-	if read && !n.list.self {
+	if !n.list.self {
 		return time.Time{}
 	}
-	var t time.Time
-	last := n.started
-	if read {
-		last = n.list.sent
-		if n.ListAge > 0 {
-			t = last.Add(n.shorter(n.Promise))
-		}
-	}
+	last := n.list.sent
+	t := last.Add(n.shorter(n.Promise))
 	if now.Sub(last) < n.Promise/2 {
 		return t
 	}
@@ -280,7 +280,7 @@
 	if !n.stood || n.forgot || n.list.sent.After(n.lostAt) {
 		return false
 	}
-	for _, p := range n.peers {
+	for _, p := range n.order {
 		if p.counted {
 			return true
 		}
@@ -290,15 +290,16 @@
 
 // update works out the share.
 func (n *Node) update(now time.Time) {
-	c := len(n.counts()) + 1
+	c := 1
+	for range n.counts() {
+		c++
+	}
 	s := Share{Count: c, RunningCount: c + len(n.ghosts), Epoch: n.share.Epoch}
 	if s.Count != n.share.Count || s.RunningCount != n.share.RunningCount {
 		s.Epoch++
 	}
-	// Loans of an earlier process at this address may still run.
-	use := n.started.Add(n.longer(n.LoanMax))
-	running := use
-	for _, p := range n.counts() {
+	use, running := n.useFrom, n.runningFrom
+	for p := range n.counts() {
 		use = latest(use, p.useFrom)
 		running = latest(running, p.runningFrom)
 	}
