--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -21,8 +21,12 @@
 
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
+	"lentilbend.example/lentilbend/internal/chooser"
+	"lentilbend.example/lentilbend/internal/filter/share"
+	"lentilbend.example/lentilbend/internal/fleet"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
+	"lentilbend.example/lentilbend/internal/peer"
 	"lentilbend.example/lentilbend/internal/platform"
 	"lentilbend.example/lentilbend/internal/pool"
 	"lentilbend.example/lentilbend/internal/relay"
@@ -48,6 +52,8 @@
 	list     *platform.List
 	reader   *platform.Reader
 	relay    *relay.Relay
+	hub      *peer.Hub
+	fleet    *fleet.Fleet
 	caller   *caller.Server
 	operator *operator.Server
 	registry *prometheus.Registry
@@ -57,6 +63,8 @@
 	parts     map[string]operator.Dumper
 	stopping  atomic.Bool
 
+	services    *chooser.Services
+	share       *share.Filter
 	started     time.Time
 	settledOnce atomic.Bool
 }
@@ -78,8 +86,11 @@
 		}()
 	}
 	run(func() error { return p.timer.Run(ctx) })
+	run(func() error { return p.hub.Run(ctx) })
+	run(func() error { return p.fleet.Run(ctx) })
 	run(func() error { return p.reader.Run(ctx) })
 	run(func() error { return p.relay.Run(ctx) })
+	run(func() error { return p.runChoice(ctx, p.hub) })
 	run(p.operator.Run)
 	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
@@ -107,7 +118,10 @@
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.parts = map[string]operator.Dumper{}
+	p.buildFleet()
 	p.buildConfig()
+	p.buildChoice()
+	p.joinFleet()
 	if err := p.buildPath(); err != nil {
 		return err
 	}
