Share out backend connections and pass load reports to the choice

The pools were bounded by a constant. A server's Connections from the table are now shared over the entry VMs that are counted, and a server that leaves the table gets none. Answers and sheds carry the parsed Server-Load to the choice.

--- a/lentilbend/internal/backend/answer.go
+++ b/lentilbend/internal/backend/answer.go
@@ -32,7 +32,11 @@
 	if a.conn.Release() && w.exchange.Attempts == 1 {
 		w.body.free()
 	}
-	w.end(a.call, choice.Answered{Status: a.response.StatusCode, FirstByte: a.first})
+	w.end(a.call, choice.Answered{
+		Status:    a.response.StatusCode,
+		Load:      a.load,
+		FirstByte: a.first,
+	})
 	return passed{}
 }
 
--- a/lentilbend/internal/backend/result.go
+++ b/lentilbend/internal/backend/result.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/load"
 
 	"lentilbend.example/lentilbend/internal/pool"
 )
@@ -20,6 +21,7 @@
 	conn     *pool.Conn
 	call     choice.Call
 	first    time.Duration
+	load     *load.Report
 }
 
 // passed means that the answer was passed on whole.
--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -263,7 +264,7 @@
 	c.Answered(first)
 	if a.Header.Get(load.RunHeader) == load.NotRun {
 		w.finish(c, a)
-		w.end(call, choice.Shed{})
+		w.end(call, choice.Shed{Load: report(a.Header)})
 		return shed{retryAfter: retryAfter(a.Header)}
 	}
 	w.reached = true
@@ -272,7 +273,7 @@
 		w.end(call, choice.Failed{})
 		return broken{}
 	}
-	return w.pass(answered{response: a, conn: c, call: call, first: first})
+	return w.pass(answered{response: a, conn: c, call: call, first: first, load: report(a.Header)})
 }
 
 // finish reads the short rest of an answer, so that its connection can be used
@@ -285,6 +286,19 @@
 	c.Release()
 }
 
+// report returns the load that the server reports, or nil.
+func report(h http.Header) *load.Report {
+	vs := h[load.Header]
+	if len(vs) == 0 {
+		return nil
+	}
+	r, ok := load.Parse(strings.Join(vs, ", "))
+	if !ok {
+		return nil
+	}
+	return &r
+}
+
 // retryAfter returns the server's Retry-After in seconds, or 0.
 func retryAfter(h http.Header) time.Duration {
 	n, err := strconv.Atoi(h.Get("Retry-After"))
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -15,13 +14,13 @@
 	"lentilbend.example/lentilbend/internal/pool"
 )
 
-// connectionsAtMost bounds the connections to one backend server until its
-// fleet-wide limit is known here.
-const connectionsAtMost = 200
-
 // buildPath makes the parts between callers and backend servers.
 func (p *Process) buildPath() error {
-	p.pools = pool.New(func(netip.AddrPort) int { return connectionsAtMost })
+	c := &connections{
+		Table: p.table,
+		VMs:   func(now time.Time) int { return p.fleet.Share(now).Count },
+	}
+	p.pools = pool.New(c.allowance)
 	p.registry.MustRegister(&pool.Collector{Set: p.pools})
 	p.forwarder = &backend.Forwarder{
 		Pools:     p.pools,
