--- a/internal/choice/allowance.go
+++ b/internal/choice/allowance.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -11,12 +12,22 @@
 type Local struct {
 	// Together says that all servers have one rate, not each its own.
 	Together bool
+	// Rand is the source of chance; nil for a random one.
+	Rand *rand.Rand
 
 	mu      sync.Mutex
 	rate    float64
 	buckets map[netip.AddrPort]*localBucket
 }
 
+// chance returns a number of at least 0 and below 1.
+func (l *Local) chance() float64 {
+	if l.Rand == nil {
+		return rand.Float64()
+	}
+	return l.Rand.Float64()
+}
+
 // localServers is how many servers a Local remembers; at that number it starts
 // anew with empty buckets.
 const localServers = 4096
@@ -34,7 +45,8 @@
 	l.rate = rate / float64(max(vms, 1))
 }
 
-// Take uses one unit for server when one is free. A new bucket is empty.
+// Take uses one unit for server when one is free. A new bucket owes a part of a
+// unit by chance, so that the buckets of several VMs do not fill at once.
 func (l *Local) Take(now time.Time, server netip.AddrPort) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -46,7 +58,7 @@
 	}
 	b := l.buckets[server]
 	if b == nil {
-		b = &localBucket{filled: now}
+		b = &localBucket{filled: now, tokens: -l.chance()}
 		l.buckets[server] = b
 	}
 	if d := now.Sub(b.filled); d > 0 {
--- /dev/null
+++ b/standin/internal/measure/cold.go
@@ -0,0 +1,307 @@
+package measure
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/load"
+)
+
+// Sizes of the measurement "cold".
+const (
+	coldLength  = 20 * time.Second
+	coldLoad    = 0.6
+	coldRate    = 20.0
+	coldBurst   = 4.0
+	coldFor     = 5 * time.Second
+	coldSpeed   = 0.3
+	coldAt      = 4 * time.Second
+	coldDown    = time.Second
+	coldWindow  = 200 * time.Millisecond
+	coldVictim  = 3
+	coldRetries = 3
+	// coldFull is the part of the other servers' mean at which a server
+	// carries its full part.
+	coldFull = 0.8
+)
+
+// ColdRun is one way of choosing over one set of arrivals.
+type ColdRun struct {
+	// Scenario is Restart (down for a second, connections refused), NoWarning
+	// (turns cold between two requests) or New (a server added to the table).
+	Scenario string
+	// Way is LeastOfTwo, or Informed with each VM's equal part of the
+	// allowance or with one bucket for all.
+	Way string
+	// Given are the requests that the server got while it was cold.
+	Given int
+	// Beyond are those of them beyond ColdRate and ColdBurst.
+	Beyond int
+	// FullAfter is the time from the end of the cold start until the server
+	// carries its full part; 0 when it did not.
+	FullAfter time.Duration
+	Requests  int
+	// Failures are requests that failed after retries of refused ones.
+	Failures int
+	P99      time.Duration
+}
+
+// ColdResult holds every run.
+type ColdResult struct {
+	Seed uint64
+	Runs []ColdRun
+}
+
+// Cold measures what a server in cold start gets, in virtual time.
+func Cold(seed uint64) ColdResult {
+	r := ColdResult{Seed: seed}
+	var bs []*coldBench
+	for _, s := range []string{"Restart", "NoWarning", "New"} {
+		for _, w := range []string{"LeastOfTwo", "InformedEqualParts", "InformedOneBucket"} {
+			bs = append(bs, &coldBench{seed: seed, scenario: s, way: w})
+		}
+	}
+	r.Runs = make([]ColdRun, len(bs))
+	parallel(len(bs), func(i int) { r.Runs[i] = bs[i].run() })
+	return r
+}
+
+// coldBench is the state of a run.
+type coldBench struct {
+	seed     uint64
+	scenario string
+	way      string
+
+	choiceBench
+	meter  coldMeter
+	given  int
+	beyond int
+	warmAt time.Duration
+	full   time.Duration
+	counts []int
+}
+
+// coldMeter is what the cold server bears: a bucket, with room for the
+// differences of the requests' time on their way.
+type coldMeter struct {
+	tokens float64
+	filled time.Duration
+}
+
+func (m *coldMeter) take(now time.Duration) bool {
+	most := coldBurst + coldRate*(2*farDelay).Seconds()
+	if m.filled == 0 {
+		m.tokens = most
+	} else {
+		m.tokens = min(most, m.tokens+coldRate*(now-m.filled).Seconds())
+	}
+	m.filled = now
+	if m.tokens < 1 {
+		return false
+	}
+	m.tokens--
+	return true
+}
+
+// oneBucket is an exact allowance that all VMs share.
+type oneBucket struct {
+	tokens map[netip.AddrPort]float64
+	filled map[netip.AddrPort]time.Time
+}
+
+// Take uses one unit for server when one is free.
+func (b *oneBucket) Take(now time.Time, server netip.AddrPort) bool {
+	t, ok := b.tokens[server]
+	if !ok {
+		t = coldBurst
+	} else {
+		t = min(coldBurst, t+coldRate*now.Sub(b.filled[server]).Seconds())
+	}
+	b.filled[server] = now
+	if t < 1 {
+		b.tokens[server] = t
+		return false
+	}
+	b.tokens[server] = t - 1
+	return true
+}
+
+func (b *coldBench) run() ColdRun {
+	var p choice.Policy = choice.NewInformed()
+	if b.way == "LeastOfTwo" {
+		p = choice.LeastOfTwo{}
+	}
+	b.choiceBench = *newChoiceBench(b.seed, p, false)
+	one := &oneBucket{tokens: map[netip.AddrPort]float64{}, filled: map[netip.AddrPort]time.Time{}}
+	for i, s := range b.sets {
+		s.Cold = one
+		if b.way == "InformedEqualParts" {
+			l := &choice.Local{Rand: newRand(b.seed, uint64(300+i))}
+			l.Set(coldRate, choiceVMs)
+			s.Cold = l
+		}
+	}
+	b.counts = make([]int, choiceServers)
+	b.script()
+	for _, a := range arrivals(b.seed, coldLoad) {
+		b.sim.after(a.at, func() { b.try(a, nil) })
+	}
+	b.news()
+	b.watch()
+	b.sim.run(coldLength + time.Minute)
+	return b.result()
+}
+
+// script makes the server turn cold and warm again.
+func (b *coldBench) script() {
+	v := b.servers[coldVictim]
+	up := coldAt
+	switch b.scenario {
+	case "Restart":
+		up += coldDown
+		b.sim.after(coldAt, v.crash)
+	case "NoWarning":
+	case "New":
+		b.update(false, 0)
+		b.sim.after(up, func() { b.update(true, b.sim.now) })
+	}
+	b.warmAt = up + coldFor
+	b.sim.after(up, func() {
+		v.down = false
+		v.cold = true
+		v.setSpeed(coldSpeed)
+	})
+	b.sim.after(b.warmAt, func() {
+		v.cold = false
+		v.setSpeed(1)
+	})
+}
+
+// update gives the sets the table with or without the server.
+func (b *coldBench) update(with bool, now time.Duration) {
+	for i, s := range b.sets {
+		var ss []choice.Server
+		for j, v := range b.servers {
+			if with || j != coldVictim {
+				ss = append(ss, choice.Server{Address: v.address, DataCentre: string(rune('a' + v.centre))})
+			}
+		}
+		if now == 0 {
+			*s = choice.Set{Policy: s.Policy, Cold: s.Cold, Rand: newRand(b.seed, uint64(200+i))}
+		}
+		s.Update(epoch.Add(now), choice.Limits{Slots: choiceSlots, ColdFor: coldFor, VMs: choiceVMs}, ss)
+	}
+}
+
+// newsDelay is the time from what a VM learns until the others hear of it.
+const newsDelay = 12 * time.Millisecond
+
+// news carries the news between the VMs.
+func (b *coldBench) news() {
+	for i, s := range b.sets {
+		ns := s.News(b.sim.time())
+		if len(ns) == 0 {
+			continue
+		}
+		b.sim.after(farDelay, func() {
+			for j, o := range b.sets {
+				if j != i {
+					o.Hear(b.sim.time(), ns)
+				}
+			}
+		})
+	}
+	if b.sim.now < coldLength {
+		b.sim.after(newsDelay-farDelay, b.news)
+	}
+}
+
+// watch notes when the server carries its full part again.
+func (b *coldBench) watch() {
+	if b.sim.now > b.warmAt+coldWindow && b.full == 0 {
+		sum := 0
+		for i, v := range b.servers {
+			if i != coldVictim {
+				sum += v.done - b.counts[i]
+			}
+		}
+		mean := float64(sum) / (choiceServers - 1)
+		if float64(b.servers[coldVictim].done-b.counts[coldVictim]) >= coldFull*mean {
+			b.full = b.sim.now - b.warmAt
+		}
+	}
+	for i, v := range b.servers {
+		b.counts[i] = v.done
+	}
+	if b.sim.now < coldLength {
+		b.sim.after(coldWindow, b.watch)
+	}
+}
+
+// try sends a request, and again elsewhere when the connection is refused.
+func (b *coldBench) try(a arrival, tried []netip.AddrPort) {
+	c, ok := b.sets[a.vm].Choose(b.sim.time(), tried)
+	if !ok {
+		b.results.add(a, 0, false)
+		return
+	}
+	v := b.byName[c.Server()]
+	d := delay(a.vm%choiceCentres, v.centre)
+	sent := b.sim.now
+	j := &simJob{left: a.work}
+	j.end = func(ok bool, r load.Report) {
+		b.sim.after(d, func() {
+			if !ok {
+				c.End(b.sim.time(), choice.Failed{})
+				b.results.add(a, 0, false)
+				return
+			}
+			c.End(b.sim.time(), choice.Answered{Status: 200, Load: &r, FirstByte: b.sim.now - sent})
+			b.results.add(a, b.sim.now-a.at, true)
+		})
+	}
+	b.sim.after(d, func() {
+		if v.down {
+			b.sim.after(d, func() { b.again(a, c, tried) })
+			return
+		}
+		b.note(v)
+		v.arrive(j)
+	})
+}
+
+// again takes a refused connection: the request did not run.
+func (b *coldBench) again(a arrival, c choice.Call, tried []netip.AddrPort) {
+	c.End(b.sim.time(), choice.Failed{})
+	if len(tried)+1 >= coldRetries {
+		b.results.add(a, 0, false)
+		return
+	}
+	b.try(a, append(slices.Clone(tried), c.Server()))
+}
+
+// note counts what the cold server gets.
+func (b *coldBench) note(v *simServer) {
+	if !v.cold {
+		return
+	}
+	b.given++
+	if !b.meter.take(b.sim.now) {
+		b.beyond++
+	}
+}
+
+func (b *coldBench) result() ColdRun {
+	return ColdRun{
+		Scenario:  b.scenario,
+		Way:       b.way,
+		Given:     b.given,
+		Beyond:    b.beyond,
+		FullAfter: b.full,
+		Requests:  b.results.requests,
+		Failures:  b.results.failures,
+		P99:       b.results.whole.quantile(0.99),
+	}
+}
