--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -70,8 +70,8 @@
 	return n
 }
 
-// lateness returns by how many times the usual latency the oldest calls are
-// late in sum.
+// lateness returns by how many times the usual late latency the oldest calls
+// are late, squared, in sum: a little lateness is common, much is not.
 func (l *calls) lateness(now time.Time, late time.Duration) float64 {
 	if late <= 0 {
 		return 0
@@ -81,7 +81,8 @@
 	for c := l.first; c != nil && n < scanned; c = c.next {
 		d := now.Sub(c.start) - late - c.wait
 		if d > 0 {
-			s += float64(d) / float64(late)
+			x := float64(d) / float64(late)
+			s += x * x
 		}
 		n++
 	}
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -116,7 +116,7 @@
 // expected returns the time in nanoseconds after which a request given to v is
 // expected to end.
 func (s *Set) expected(p Informed, v *server) float64 {
-	f := v.slowness(s.now, p.Slow)
+	f := v.slowness(s.now, s.fade(p.Slow))
 	f += p.Late * v.calls.lateness(s.now, s.usual.late)
 	f += evidenceFactor * v.health.weight(s.now)
 	if v.missing && s.now.Sub(v.heard) > missingKnown {
@@ -146,11 +146,11 @@
 	if v.reported.IsZero() {
 		return own, 0
 	}
-	sure := faded(s.now.Sub(v.reported), s.fade(p))
+	sure := faded(s.now.Sub(v.reported), s.fade(p.Fade))
 	n := m + (float64(v.report.Running+v.report.Queued)-m)*sure
 	n += float64(v.calls.since(v.reported))
 	if v.calls.count > 1 {
-		n = max(n, ownPart*own)
+		n = max(n, own)
 	}
 	return n + v.correction(s.now), sure
 }
@@ -164,14 +164,9 @@
 	return float64(s.inFlight*s.vms) / float64(len(s.servers))
 }
 
-// How the number of own calls tells of all calls at a server.
-const (
-	// ownPrior is the weight of the usual number, in own calls.
-	ownPrior = 2.0
-	// ownPart is the least part of the number by own calls that is believed
-	// against the server's report.
-	ownPart = 0.5
-)
+// ownPrior is the weight of the usual number of requests at a server, in own
+// calls, when the own calls tell of all.
+const ownPrior = 2.0
 
 // byOwn returns how many requests v is thought to have by the number of own
 // calls in flight, if m is usual.
@@ -181,8 +176,9 @@
 	return max(n, float64(v.calls.count))
 }
 
-func (s *Set) fade(p Informed) time.Duration {
-	return time.Duration(p.Fade * float64(max(s.usual.mean, latencyFloor)))
+// fade returns a time given in mean latencies.
+func (s *Set) fade(n float64) time.Duration {
+	return time.Duration(n * float64(max(s.usual.mean, latencyFloor)))
 }
 
 // mean is a running mean.
--- a/internal/choice/outcome.go
+++ b/internal/choice/outcome.go
@@ -80,7 +80,7 @@
 
 func (s *Set) slower(v *server, ratio float64) {
 	if p, ok := s.Policy.(Informed); ok {
-		v.judge(s.now, ratio, p.Slow)
+		v.judge(s.now, ratio, s.fade(p.Slow))
 	}
 }
 
--- a/internal/choice/policy.go
+++ b/internal/choice/policy.go
@@ -1,7 +1,5 @@
 package choice
 
-import "time"
-
 // Policy is a way to choose: one of the types below.
 type Policy interface {
 	policy()
@@ -28,8 +26,8 @@
 	Near float64
 	// Late is the weight of the lateness of calls in flight.
 	Late float64
-	// Slow is how long the slowness of ended calls counts.
-	Slow time.Duration
+	// Slow is how long the slowness of ended calls counts, in mean latencies.
+	Slow float64
 }
 
 func (Random) policy()     {}
@@ -39,5 +37,5 @@
 
 // NewInformed returns the policy with its usual parameters.
 func NewInformed() Informed {
-	return Informed{Fade: 3, Spread: 2, Near: 0.05, Late: 1, Slow: 100 * time.Millisecond}
+	return Informed{Fade: 1, Spread: 1.5, Near: 0.05, Late: 1, Slow: 0.5}
 }
