Believe that a server is down only when two VMs say so

A VM that is itself cut off could have put every server in doubt for all. News of a server that is down now needs a second VM, and never puts more than half of the servers in doubt. When more than half are suspended, they are chosen beside the others.

--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -46,12 +46,31 @@
 }
 
 // score fills scores with the expected time of each server in the best tier,
-// infinite for the others, and returns the tier.
+// infinite for the others, and returns the tier. When more than half of the
+// servers are suspended, they are scored beside the others, since the few others
+// could not bear the whole work.
 func (s *Set) score(p Informed, tried []netip.AddrPort) tier {
-	best := tierNone
+	best, suspended := s.scoreTiers(p, tried, false)
+	if 2*suspended > len(s.servers) {
+		best, _ = s.scoreTiers(p, tried, true)
+	}
+	if best == tierSuspect {
+		s.panics++
+	}
+	return best
+}
+
+func (s *Set) scoreTiers(p Informed, tried []netip.AddrPort, crowd bool) (tier, int) {
+	best, suspended := tierNone, 0
 	for i, v := range s.servers {
 		s.scores[i] = math.Inf(1)
 		t := s.tier(v, tried)
+		if t == tierSuspect {
+			suspended++
+			if crowd {
+				t = tierGood
+			}
+		}
 		if t > best || t == tierNone {
 			continue
 		}
@@ -61,10 +80,7 @@
 		}
 		s.scores[i] = s.expected(p, v)
 	}
-	if best == tierSuspect {
-		s.panics++
-	}
-	return best
+	return best, suspended
 }
 
 func (s *Set) clear(n int) {
--- a/internal/choice/news.go
+++ b/internal/choice/news.go
@@ -107,29 +107,26 @@
 	return r
 }
 
-// Hear takes what another VM learned. An own good answer of later outranks it.
-func (s *Set) Hear(now time.Time, ns []News) {
+// Hear takes what the VM from learned. An own good answer of later outranks it.
+func (s *Set) Hear(now time.Time, from netip.AddrPort, ns []News) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begin(now)
 	for _, n := range ns {
 		if v := s.find(n.Server); v != nil {
-			s.hear(v, n)
+			s.hear(v, from, n)
 		}
 	}
 }
 
-func (s *Set) hear(v *server, n News) {
+func (s *Set) hear(v *server, from netip.AddrPort, n News) {
 	at := s.now.Add(-max(n.Age, 0))
 	switch n.State {
 	case StateCold:
-		if v.start.phase != phaseCold {
-			v.start.cold(at)
-		}
+		v.start.cold(at)
 	case StateDown:
-		if v.answered.Before(at) {
-			v.start.doubt(at)
-		}
+		s.hearDown(v, from, at)
+		return
 	case StateDraining:
 		if v.heard.Before(at) {
 			v.drain.hear(at)
@@ -145,6 +142,45 @@
 	v.told = n.State
 }
 
+// rumor is a VM's word that a server is down.
+type rumor struct {
+	from netip.AddrPort
+	at   time.Time
+}
+
+// rumorFor is how long a rumor waits for a second VM to say the same.
+const rumorFor = time.Second
+
+// hearDown believes that a server is down when two VMs say so, unless half of
+// the servers would then be in doubt: a VM that is itself cut off must not
+// empty the service for the others.
+func (s *Set) hearDown(v *server, from netip.AddrPort, at time.Time) {
+	if !v.answered.Before(at) || v.start.bounded() {
+		return
+	}
+	r := v.rumor
+	v.rumor = rumor{from: from, at: s.now}
+	if !r.from.IsValid() || r.from == from || s.now.Sub(r.at) > rumorFor {
+		return
+	}
+	if 2*(s.bounded()+1) > len(s.servers) {
+		return
+	}
+	v.start.doubt(at)
+	v.told = StateDown
+}
+
+// bounded returns how many servers get work only by the cold allowance.
+func (s *Set) bounded() int {
+	n := 0
+	for _, v := range s.servers {
+		if v.start.bounded() {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Set) find(a netip.AddrPort) *server {
 	for _, v := range s.servers {
 		if v.address == a {
--- a/internal/choice/server.go
+++ b/internal/choice/server.go
@@ -35,6 +35,7 @@
 	answered  time.Time // when a whole good answer last came
 	heard     time.Time // when anything last came from the server
 	probed    time.Time
+	rumor     rumor
 	told      State // what other VMs were told last
 	chosen    uint64
 	sheds     uint64
--- a/lentilbend/internal/chooser/news.go
+++ b/lentilbend/internal/chooser/news.go
@@ -40,21 +40,21 @@
 	return ms
 }
 
-// Hear takes the news of another VM.
-func (s *Services) Hear(now time.Time, ms []*peerpb.LoadMessage) {
+// Hear takes the news of the VM from.
+func (s *Services) Hear(now time.Time, from netip.AddrPort, ms []*peerpb.LoadMessage) {
 	for _, m := range ms {
 		ns := decode(m)
 		if v := s.find(m.GetService()); v != nil {
-			v.set.Hear(now, ns)
+			v.set.Hear(now, from, ns)
 			continue
 		}
-		s.keep(now, m.GetService(), ns)
+		s.keep(now, from, m.GetService(), ns)
 	}
 }
 
 // keep holds the news of a service that is not known yet. Its ages are then
 // counted from now.
-func (s *Services) keep(now time.Time, name string, ns []choice.News) {
+func (s *Services) keep(now time.Time, from netip.AddrPort, name string, ns []choice.News) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.early == nil {
@@ -65,7 +65,7 @@
 	}
 	for _, n := range ns {
 		if len(s.early[name]) < earlyNews {
-			s.early[name] = append(s.early[name], early{news: n, at: now})
+			s.early[name] = append(s.early[name], early{news: n, from: from, at: now})
 		}
 	}
 }
@@ -73,22 +73,19 @@
 // early is news that came before its service.
 type early struct {
 	news choice.News
+	from netip.AddrPort
 	at   time.Time
 }
 
 // hearEarly gives a service the news that came before it. The lock is held.
 func (s *Services) hearEarly(now time.Time, name string, v *service) {
-	var ns []choice.News
 	for _, e := range s.early[name] {
 		if d := now.Sub(e.at); d < earlyFor {
 			e.news.Age += d
-			ns = append(ns, e.news)
+			v.set.Hear(now, e.from, []choice.News{e.news})
 		}
 	}
 	delete(s.early, name)
-	if len(ns) > 0 {
-		v.set.Hear(now, ns)
-	}
 }
 
 func encode(service string, ns []choice.News) *peerpb.LoadMessage {
--- a/lentilbend/internal/serve/choice.go
+++ b/lentilbend/internal/serve/choice.go
@@ -96,7 +96,7 @@
 // Handle takes a frame of a peer.
 func (n *loadNews) Handle(now time.Time, from member.ID, f *peerpb.Frame) {
 	if len(f.GetLoad()) > 0 {
-		n.services.Hear(now, f.GetLoad())
+		n.services.Hear(now, from.Address, f.GetLoad())
 	}
 	if f.GetHello() == nil {
 		return
--- a/standin/internal/measure/choice.go
+++ b/standin/internal/measure/choice.go
@@ -36,10 +36,13 @@
 
 // Scenarios of the measurement.
 const (
-	ScenarioWell    ChoiceScenario = "AllWell"
-	ScenarioBursts  ChoiceScenario = "SlowBursts"
-	ScenarioFailing ChoiceScenario = "FailingFast"
-	ScenarioLying   ChoiceScenario = "LyingReports"
+	ScenarioWell ChoiceScenario = "AllWell"
+	// ScenarioBursts has pauses of burstPause between the bursts,
+	// ScenarioBurstRow has none.
+	ScenarioBursts   ChoiceScenario = "SlowBursts"
+	ScenarioBurstRow ChoiceScenario = "SlowBurstsInARow"
+	ScenarioFailing  ChoiceScenario = "FailingFast"
+	ScenarioLying    ChoiceScenario = "LyingReports"
 )
 
 // ChoiceRun is one policy's result over one set of arrivals.
@@ -77,7 +80,7 @@
 func Choice(seed uint64) ChoiceResult {
 	r := ChoiceResult{Seed: seed}
 	var jobs []choiceJob
-	for _, c := range []ChoiceScenario{ScenarioWell, ScenarioBursts, ScenarioFailing, ScenarioLying} {
+	for _, c := range []ChoiceScenario{ScenarioWell, ScenarioBursts, ScenarioBurstRow, ScenarioFailing, ScenarioLying} {
 		for _, l := range []float64{0.5, 0.7, 0.85} {
 			for _, p := range choicePolicies() {
 				jobs = append(jobs, choiceJob{seed: seed, scenario: c, load: l, policy: p})
@@ -149,7 +152,9 @@
 	switch j.scenario {
 	case ScenarioWell:
 	case ScenarioBursts:
-		b.bursts(j.seed)
+		b.bursts(j.seed, burstPause)
+	case ScenarioBurstRow:
+		b.bursts(j.seed, 0)
 	case ScenarioFailing:
 		b.servers[5].failing = true
 	case ScenarioLying:
@@ -225,10 +230,10 @@
 }
 
 // bursts makes servers slow at changing places.
-func (b *choiceBench) bursts(seed uint64) {
+func (b *choiceBench) bursts(seed uint64, pause time.Duration) {
 	r := newRand(seed, 2)
 	n := 0
-	for t := time.Duration(0); t < choiceLength; t += burstLength + burstPause {
+	for t := time.Duration(0); t < choiceLength; t += burstLength + pause {
 		n++
 		vs := r.Perm(choiceServers)[:2]
 		if n%feedEvery == 0 {
@@ -236,7 +241,7 @@
 			vs = []int{4 * f, 4*f + 1, 4*f + 2, 4*f + 3}
 		}
 		b.sim.after(t, func() { b.speed(vs, slowSpeed) })
-		b.sim.after(t+burstLength, func() { b.speed(vs, 1) })
+		b.sim.after(t+burstLength-1, func() { b.speed(vs, 1) })
 	}
 }
 
--- a/standin/internal/measure/cold.go
+++ b/standin/internal/measure/cold.go
@@ -208,7 +208,7 @@
 		b.sim.after(farDelay, func() {
 			for j, o := range b.sets {
 				if j != i {
-					o.Hear(b.sim.time(), ns)
+					o.Hear(b.sim.time(), serverAddress(1000+i), ns)
 				}
 			}
 		})
