--- /dev/null
+++ b/standin/internal/cli/bench.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/pelletier/go-toml/v2"
+
+	"lentilbend.example/standin/internal/load"
+	"lentilbend.example/standin/internal/measure"
+)
+
+func measureCommand() command {
+	o := measure.Options{Seed: 1}
+	name := ""
+	c := flaggy.NewSubcommand("measure")
+	c.Description = "run a measurement and print one TOML document: " + strings.Join(measure.Names(), ", ")
+	c.AddPositionalValue(&name, "NAME", 1, true, "measurement")
+	c.UInt64(&o.Seed, "s", "seed", "seed of arrivals and faults")
+	c.Int(&o.Seconds, "t", "seconds", "about how long to run")
+	c.String(&o.Plot, "p", "plot", "SVG or PNG file to draw")
+	c.String(&o.Bin, "b", "bin", "folder with the programs; that of this one if empty")
+	return command{sub: c, run: func(out io.Writer) error {
+		m, ok := measure.Find(name)
+		if !ok {
+			return fmt.Errorf("cli: no measurement %q, there are: %s", name, strings.Join(measure.Names(), ", "))
+		}
+		ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		defer cancel()
+		return m.Print(ctx, o, out)
+	}}
+}
+
+func loadCommand() command {
+	file, seed := "load.toml", uint64(1)
+	c := flaggy.NewSubcommand("load")
+	c.Description = "send calls at given times and print one TOML document"
+	c.String(&file, "f", "file", "TOML file with entry VMs, kinds, workspaces and rate")
+	c.UInt64(&seed, "s", "seed", "seed of the arrivals")
+	return command{sub: c, run: func(out io.Writer) error {
+		g, err := load.Read(file)
+		if err != nil {
+			return err
+		}
+		g.Seed = seed
+		ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		defer cancel()
+		r, err := g.Run(ctx)
+		if err != nil {
+			return err
+		}
+		return toml.NewEncoder(out).Encode(r)
+	}}
+}
