Register the measurements; tell news at once; ramp by doubling

News waited for the next tick; it now wakes the sender. A server's part in the ramp doubles with each good answer (was 1.5 times).

--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -32,11 +32,13 @@
 // pickInformed offers the request to the servers in cold start as far as their
 // allowance goes, and else picks among the best tier by the expected time.
 func (s *Set) pickInformed(p Informed, tried []netip.AddrPort) *server {
-	if v := s.pickCold(tried); v != nil {
-		return v
-	}
-	if v := s.pickTrial(tried); v != nil {
-		return v
+	if s.special() {
+		if v := s.pickCold(tried); v != nil {
+			return v
+		}
+		if v := s.pickTrial(tried); v != nil {
+			return v
+		}
 	}
 	best := s.score(p, tried)
 	if best == tierNone {
@@ -45,6 +47,19 @@
 	return s.near(p, best)
 }
 
+// special says whether any server is not warm or on trial, and lets those in the
+// ramp earn.
+func (s *Set) special() bool {
+	found := false
+	for _, v := range s.servers {
+		if v.start.phase != phaseWarm || v.health.trial() {
+			found = true
+			v.start.earn(len(s.servers))
+		}
+	}
+	return found
+}
+
 // score fills scores with the expected time of each server in the best tier,
 // infinite for the others, and returns the tier. When more than half of the
 // servers are suspended, they are scored beside the others, since the few others
@@ -99,7 +114,7 @@
 	if v.health.suspended(s.now) || v.health.trial() && v.calls.count > 0 {
 		return tierSuspect
 	}
-	if !v.start.earn(len(s.servers)) {
+	if !v.start.ready() {
 		return tierSuspect
 	}
 	return tierGood
--- a/internal/choice/news.go
+++ b/internal/choice/news.go
@@ -52,6 +52,9 @@
 		return
 	}
 	v.told = t
+	if s.Wake != nil {
+		defer s.Wake()
+	}
 	w := &s.news.waiting
 	for i := range *w {
 		if (*w)[i].server == v {
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -22,6 +22,9 @@
 	// Observe is called with each outcome and how long the call took; nil for
 	// none. It runs outside the lock.
 	Observe func(now time.Time, elapsed time.Duration, o Outcome)
+	// Wake is called when there is news to be told; nil for none. It must not
+	// block or call the Set.
+	Wake func()
 	// Probes is asked before each probe; nil for no probes.
 	Probes Allowance
 
--- a/internal/choice/start.go
+++ b/internal/choice/start.go
@@ -18,7 +18,7 @@
 // Steps of the ramp, as parts of what a warm server may get.
 const (
 	rampFirst = 0.125
-	rampUp    = 1.5
+	rampUp    = 2
 	rampDown  = 0.5
 	// rampBonus is how much more than an equal part a server in the ramp may
 	// get at most.
@@ -82,11 +82,14 @@
 }
 
 // earn adds to the credit of a server in the ramp, one of n servers, for one
-// choice, and says whether it may be chosen.
-func (s *start) earn(n int) bool {
-	if s.phase != phaseRamp {
-		return true
+// choice.
+func (s *start) earn(n int) {
+	if s.phase == phaseRamp {
+		s.credit = min(s.credit+rampBonus*s.part/float64(n), 2)
 	}
-	s.credit = min(s.credit+rampBonus*s.part/float64(n), 2)
-	return s.credit >= 1
+}
+
+// ready says whether a server has the credit to be chosen.
+func (s *start) ready() bool {
+	return s.phase != phaseRamp || s.credit >= 1
 }
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -34,6 +34,9 @@
 	Cold   func(service string) choice.Allowance
 	Probes func(service string) choice.Allowance
 
+	// Wake is called when there is news to be told. It must not block.
+	Wake func()
+
 	mu       sync.Mutex
 	services atomic.Pointer[map[string]*service]
 	early    map[string][]early
@@ -100,7 +103,7 @@
 	_ = level.Info(s.Logger).Log("msg", "Choosing servers.", "service", name)
 	v := &service{cold: &choice.Local{}, probes: &choice.Local{Together: true}}
 	v.gate = &fair.Gate{}
-	v.set = &choice.Set{Service: name, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe}
+	v.set = &choice.Set{Service: name, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake}
 	if s.Cold != nil {
 		v.set.Cold = s.Cold(name)
 	}
--- a/lentilbend/internal/serve/choice.go
+++ b/lentilbend/internal/serve/choice.go
@@ -17,18 +17,22 @@
 
 // Times of the choice of servers.
 const (
-	newsEvery  = 10 * time.Millisecond
-	probeEvery = 500 * time.Millisecond
+	// choiceEvery is the time between looks at waiting requests and at news
+	// that was held back.
+	choiceEvery = 10 * time.Millisecond
+	probeEvery  = 500 * time.Millisecond
 )
 
 // buildChoice makes the part that chooses backend servers.
 func (p *Process) buildChoice() {
 	p.services = &chooser.Services{
+		Wake:   p.wakeNews,
 		Policy: choice.NewInformed(),
 		Logger: p.root.Part("choice"),
 		Table:  p.store.Table,
 		VMs:    p.list.Newest,
 	}
+	p.news = make(chan struct{}, 1)
 	p.share = &share.Filter{Gate: p.services.Gate}
 	p.registry.MustRegister(p.services, p.share)
 	p.parts["Choice"] = p.services
@@ -45,12 +49,14 @@
 	}
 	refresh()
 	go p.probe(ctx)
-	t := time.NewTicker(newsEvery)
+	t := time.NewTicker(choiceEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-p.news:
+			p.tell(peers, p.services.News(time.Now()))
 		case now := <-t.C:
 			p.services.Tick(now)
 			p.tell(peers, p.services.News(now))
@@ -58,6 +64,14 @@
 	}
 }
 
+// wakeNews makes runChoice tell the news at once.
+func (p *Process) wakeNews() {
+	select {
+	case p.news <- struct{}{}:
+	default:
+	}
+}
+
 func (p *Process) probe(ctx context.Context) {
 	b := &chooser.Prober{Services: p.services, Transport: &http.Transport{DisableKeepAlives: true}}
 	t := time.NewTicker(probeEvery)
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -65,6 +65,7 @@
 
 	services    *chooser.Services
 	share       *share.Filter
+	news        chan struct{}
 	started     time.Time
 	settledOnce atomic.Bool
 }
--- a/standin/internal/measure/choice.go
+++ b/standin/internal/measure/choice.go
@@ -52,15 +52,17 @@
 	Load     float64
 	Policy   string
 	Requests int
-	P50      time.Duration
-	P99      time.Duration
-	P999     time.Duration
+	// P50, P99 and P999 are percentiles of the latency, in milliseconds.
+	P50  float64
+	P99  float64
+	P999 float64
 	// Added99 is the 99th percentile of the latency beyond the request's own
-	// work at full speed.
-	Added99 time.Duration
+	// work at full speed, in milliseconds.
+	Added99 float64
 	// Failures are the requests answered with an error.
 	Failures int
-	Probes   int
+	// Probes is the number of load probes sent.
+	Probes int
 }
 
 // ChoiceResult holds every run.
@@ -171,10 +173,10 @@
 		Load:     j.load,
 		Policy:   j.policy.name,
 		Requests: b.results.requests,
-		P50:      b.results.whole.quantile(0.5),
-		P99:      b.results.whole.quantile(0.99),
-		P999:     b.results.whole.quantile(0.999),
-		Added99:  b.results.added.quantile(0.99),
+		P50:      milliseconds(b.results.whole.quantile(0.5)),
+		P99:      milliseconds(b.results.whole.quantile(0.99)),
+		P999:     milliseconds(b.results.whole.quantile(0.999)),
+		Added99:  milliseconds(b.results.added.quantile(0.99)),
 		Failures: b.results.failures,
 	}
 }
--- a/standin/internal/measure/choiceoracle.go
+++ b/standin/internal/measure/choiceoracle.go
@@ -69,3 +69,7 @@
 	slices.Sort(d)
 	return d[int(q*float64(len(d)-1))]
 }
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- a/standin/internal/measure/fair.go
+++ b/standin/internal/measure/fair.go
@@ -40,7 +40,8 @@
 	WrongfulRefusals int
 	WithinShare      int
 	Refused          int
-	OthersP99        time.Duration
+	// OthersP99 is the 99th percentile of the others' latency, in milliseconds.
+	OthersP99 float64
 }
 
 // FairResult holds every run.
@@ -275,6 +276,6 @@
 		r.WithinShare += int(due)
 		r.WrongfulRefusals += max(0, int(due)-b.served[i])
 	}
-	r.OthersP99 = b.others.quantile(0.99)
+	r.OthersP99 = milliseconds(b.others.quantile(0.99))
 	return r
 }
