--- a/internal/choice/dump.go
+++ b/internal/choice/dump.go
@@ -15,7 +15,7 @@
 	MeanRequests float64
 	// NoServer counts requests without any server.
 	NoServer uint64
-	// AllSuspect counts requests for which every server looked bad.
+	// AllSuspect counts requests for which most or all servers looked bad.
 	AllSuspect  uint64
 	NewsDropped uint64
 	Servers     []ServerDump
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -69,7 +69,7 @@
 	if 2*suspended > len(s.servers) {
 		best, _ = s.scoreTiers(p, tried, true)
 	}
-	if best == tierSuspect {
+	if best == tierSuspect || 2*suspended > len(s.servers) {
 		s.panics++
 	}
 	return best
--- /dev/null
+++ b/internal/choice/schedule_test.go
@@ -0,0 +1,129 @@
+package choice_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/load"
+)
+
+// TestSchedules runs random schedules of calls, answers, faults, edits and news
+// and checks what must always hold.
+func TestSchedules(t *testing.T) {
+	for k, v := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(k, v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		RegisterTestingT(t)
+		b := newBench(rapid.IntRange(1, 8).Draw(t, "servers"), rapid.Uint64().Draw(t, "seed"))
+		s := schedule{bench: b}
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			s.step(t)
+		}
+	})
+}
+
+type schedule struct {
+	*bench
+	calls []choice.Call
+}
+
+func (s *schedule) step(t *rapid.T) {
+	s.pass(time.Duration(rapid.IntRange(0, 200).Draw(t, "millis")) * time.Millisecond)
+	switch rapid.IntRange(0, 9).Draw(t, "what") {
+	case 0:
+		i := rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")
+		s.hosts[i].Out = rapid.Bool().Draw(t, "out")
+		s.hosts[i].Leaving = rapid.Bool().Draw(t, "leaving")
+		s.hosts[i].Missing = rapid.Bool().Draw(t, "missing")
+		s.update()
+	case 1:
+		s.cold.left = rapid.IntRange(0, 3).Draw(t, "allowed")
+	case 2:
+		i := rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")
+		s.set.Hear(s.now, address(rapid.IntRange(100, 103).Draw(t, "from")), []choice.News{{
+			Server: s.hosts[i].Address,
+			State:  choice.State(rapid.IntRange(0, 5).Draw(t, "state")),
+			Age:    time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond,
+		}})
+	case 3, 4, 5:
+		s.end(t)
+	default:
+		s.give(t)
+	}
+	s.check(t)
+}
+
+func (s *schedule) give(t *rapid.T) {
+	before := s.set.Dump()
+	taken := s.total()
+	c, ok := s.set.Choose(s.now, nil)
+	if !ok {
+		for i, d := range before.Servers {
+			h := s.hosts[i]
+			if !h.Out && !h.Leaving && (d.Phase == "Warm" || d.Phase == "Ramp") {
+				t.Fatalf("no server, but %v might serve", d)
+			}
+		}
+		return
+	}
+	s.calls = append(s.calls, c)
+	for i, h := range s.hosts {
+		if h.Address != c.Server() {
+			continue
+		}
+		if h.Out || h.Leaving {
+			t.Fatalf("%v chosen", h)
+		}
+		p := before.Servers[i].Phase
+		if (p == "Cold" || p == "Doubt") && s.total() != taken+1 {
+			t.Fatalf("%v chosen without allowance", before.Servers[i])
+		}
+	}
+}
+
+func (s *schedule) total() int {
+	n := 0
+	for _, k := range s.cold.taken {
+		n += k
+	}
+	return n
+}
+
+func (s *schedule) end(t *rapid.T) {
+	if len(s.calls) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(s.calls)-1).Draw(t, "call")
+	c := s.calls[i]
+	s.calls = append(s.calls[:i], s.calls[i+1:]...)
+	r := load.Report{
+		Running:  rapid.IntRange(0, 1<<20).Draw(t, "running"),
+		Queued:   rapid.IntRange(0, 1<<20).Draw(t, "queued"),
+		Cold:     rapid.Bool().Draw(t, "cold"),
+		Draining: rapid.Bool().Draw(t, "draining"),
+	}
+	os := []choice.Outcome{
+		choice.Answered{Status: 200, Load: &r, FirstByte: usual}, choice.Answered{Status: 200},
+		choice.Answered{Status: 500, Load: &r}, choice.Shed{Load: &r}, choice.Shed{},
+		choice.Failed{}, choice.TimedOut{}, choice.Cancelled{}, choice.NotSent{},
+	}
+	c.End(s.now, rapid.SampledFrom(os).Draw(t, "outcome"))
+}
+
+func (s *schedule) check(t *rapid.T) {
+	n := 0
+	for _, d := range s.set.Dump().Servers {
+		n += d.InFlight
+	}
+	if n != len(s.calls) {
+		t.Fatalf("%d in flight, not %d", n, len(s.calls))
+	}
+}
--- a/lentilbend/internal/chooser/metrics.go
+++ b/lentilbend/internal/chooser/metrics.go
@@ -21,7 +21,7 @@
 	inFlight    = describe("in_flight", "Requests in flight to the backend server.")
 	usable      = describe("usable", "1 when the backend server gets work without bounds, else 0.")
 	noServer    = describeService("no_server_total", "Requests for which no backend server might be chosen.")
-	allSuspect  = describeService("all_suspect_total", "Requests for which every backend server looked bad.")
+	allSuspect  = describeService("all_suspect_total", "Requests for which most backend servers looked bad.")
 
 	shareLimit    = describeService("limit", "Requests that may run at once from this VM, as learned.")
 	shareRunning  = describeService("running", "Requests admitted and not ended.")
