--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -32,11 +32,13 @@
 // pickInformed offers the request to the servers in cold start as far as their
 // allowance goes, and else picks among the best tier by the expected time.
 func (s *Set) pickInformed(p Informed, tried []netip.AddrPort) *server {
-	if v := s.pickCold(tried); v != nil {
-		return v
-	}
-	if v := s.pickTrial(tried); v != nil {
-		return v
+	if s.special() {
+		if v := s.pickCold(tried); v != nil {
+			return v
+		}
+		if v := s.pickTrial(tried); v != nil {
+			return v
+		}
 	}
 	best := s.score(p, tried)
 	if best == tierNone {
@@ -45,13 +47,45 @@
 	return s.near(p, best)
 }
 
+// special says whether any server is not warm or on trial, and lets those in the
+// ramp earn.
+func (s *Set) special() bool {
+	found := false
+	for _, v := range s.servers {
+		if v.start.phase != phaseWarm || v.health.trial() {
+			found = true
+			v.start.earn(len(s.servers))
+		}
+	}
+	return found
+}
+
 // score fills scores with the expected time of each server in the best tier,
-// infinite for the others, and returns the tier.
+// infinite for the others, and returns the tier. When more than half of the
+// servers are suspended, they are scored beside the others, since the few others
+// could not bear the whole work.
 func (s *Set) score(p Informed, tried []netip.AddrPort) tier {
-	best := tierNone
+	best, suspended := s.scoreTiers(p, tried, false)
+	if 2*suspended > len(s.servers) {
+		best, _ = s.scoreTiers(p, tried, true)
+	}
+	if best == tierSuspect || 2*suspended > len(s.servers) {
+		s.panics++
+	}
+	return best
+}
+
+func (s *Set) scoreTiers(p Informed, tried []netip.AddrPort, crowd bool) (tier, int) {
+	best, suspended := tierNone, 0
 	for i, v := range s.servers {
 		s.scores[i] = math.Inf(1)
 		t := s.tier(v, tried)
+		if t == tierSuspect {
+			suspended++
+			if crowd {
+				t = tierGood
+			}
+		}
 		if t > best || t == tierNone {
 			continue
 		}
@@ -61,10 +95,7 @@
 		}
 		s.scores[i] = s.expected(p, v)
 	}
-	if best == tierSuspect {
-		s.panics++
-	}
-	return best
+	return best, suspended
 }
 
 func (s *Set) clear(n int) {
@@ -83,7 +114,7 @@
 	if v.health.suspended(s.now) || v.health.trial() && v.calls.count > 0 {
 		return tierSuspect
 	}
-	if !v.start.earn(len(s.servers)) {
+	if !v.start.ready() {
 		return tierSuspect
 	}
 	return tierGood
@@ -116,7 +147,7 @@
 // expected returns the time in nanoseconds after which a request given to v is
 // expected to end.
 func (s *Set) expected(p Informed, v *server) float64 {
-	f := v.slowness(s.now, p.Slow)
+	f := v.slowness(s.now, s.fade(p.Slow))
 	f += p.Late * v.calls.lateness(s.now, s.usual.late)
 	f += evidenceFactor * v.health.weight(s.now)
 	if v.missing && s.now.Sub(v.heard) > missingKnown {
@@ -146,11 +177,11 @@
 	if v.reported.IsZero() {
 		return own, 0
 	}
-	sure := faded(s.now.Sub(v.reported), s.fade(p))
+	sure := faded(s.now.Sub(v.reported), s.fade(p.Fade))
 	n := m + (float64(v.report.Running+v.report.Queued)-m)*sure
 	n += float64(v.calls.since(v.reported))
 	if v.calls.count > 1 {
-		n = max(n, ownPart*own)
+		n = max(n, own)
 	}
 	return n + v.correction(s.now), sure
 }
@@ -164,14 +195,9 @@
 	return float64(s.inFlight*s.vms) / float64(len(s.servers))
 }
 
-// How the number of own calls tells of all calls at a server.
-const (
-	// ownPrior is the weight of the usual number, in own calls.
-	ownPrior = 2.0
-	// ownPart is the least part of the number by own calls that is believed
-	// against the server's report.
-	ownPart = 0.5
-)
+// ownPrior is the weight of the usual number of requests at a server, in own
+// calls, when the own calls tell of all.
+const ownPrior = 2.0
 
 // byOwn returns how many requests v is thought to have by the number of own
 // calls in flight, if m is usual.
@@ -181,8 +207,9 @@
 	return max(n, float64(v.calls.count))
 }
 
-func (s *Set) fade(p Informed) time.Duration {
-	return time.Duration(p.Fade * float64(max(s.usual.mean, latencyFloor)))
+// fade returns a time given in mean latencies.
+func (s *Set) fade(n float64) time.Duration {
+	return time.Duration(n * float64(max(s.usual.mean, latencyFloor)))
 }
 
 // mean is a running mean.
