--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -149,11 +149,11 @@
 	return nil
 }
 
-// WaitReady waits until each running entry VM is ready.
+// WaitReady waits until each entry VM that runs now is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for _, e := range f.Entries {
+	for _, e := range f.running() {
 		for e.Running() && !e.Ready(ctx) {
 			if ctx.Err() != nil {
 				return fmt.Errorf("fleet: entry VM %d is not ready: %s", e.Index, e.LastLog())
@@ -167,6 +167,16 @@
 	return nil
 }
 
+func (f *Fleet) running() []*Entry {
+	var es []*Entry
+	for _, e := range f.Entries {
+		if e.Running() {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
 // Close ends all that was started.
 func (f *Fleet) Close() {
 	for _, e := range f.Entries {
--- a/standin/internal/fleet/operate.go
+++ b/standin/internal/fleet/operate.go
@@ -112,3 +112,6 @@
 	}
 	return string(b[max(0, len(b)-1000):])
 }
+
+// RevisionMetric tells the revision of the table that is in force.
+const RevisionMetric = "lentilbend_table_revision"
--- a/standin/internal/fleet/table.go
+++ b/standin/internal/fleet/table.go
@@ -35,6 +35,14 @@
 	return r
 }
 
+// PublishAgain publishes a value that was changed at the platform itself.
+func (f *Fleet) PublishAgain(name string) uint64 {
+	f.mu.Lock()
+	delete(f.published, name)
+	f.mu.Unlock()
+	return f.Publish()
+}
+
 // Withdraw takes the key of a workspace out of the table, or gives it again.
 func (f *Fleet) Withdraw(workspace string, withdrawn bool) error {
 	for i := range f.Deployment.Workspaces {
