Dial peers from the peer address; write seeds for the loopback fleet

Cause: on a VM with several addresses the kernel chose another source IP than the one in the list, and the peer refused the stream ('Refused a peer', 31 times in 5 s); a VM that started while the platform was down knew no peer. Ruled out: the relay and the pull themselves (the Relay dump was empty). Change: the dial is bound to the peer address; seeds count as allowed; the launcher writes Seeds.

--- a/lentilbend/internal/fleet/fleet.go
+++ b/lentilbend/internal/fleet/fleet.go
@@ -146,6 +146,9 @@
 	for _, a := range f.Node.Addresses() {
 		s.allowed[a.Addr().Unmap()] = true
 	}
+	for _, a := range f.Seeds() {
+		s.allowed[a.Addr().Unmap()] = true
+	}
 	if o := f.state.Swap(s); o != nil {
 		f.report(o.share, s.share)
 	}
@@ -199,7 +202,7 @@
 	return as
 }
 
-// Allowed tells whether a VM at this IP is in the list or counted.
+// Allowed tells whether a VM at this IP is in the list, a seed or counted.
 func (f *Fleet) Allowed(ip netip.Addr) bool {
 	s := f.state.Load()
 	return s != nil && s.allowed[ip]
--- a/lentilbend/internal/peer/dial.go
+++ b/lentilbend/internal/peer/dial.go
@@ -40,7 +40,8 @@
 	if h.Dial != nil {
 		return h.Dial(ctx, to)
 	}
-	var d net.Dialer
+	// Peers know this VM by the IP of its peer address.
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: h.Self.Address.Addr().AsSlice()}}
 	return d.DialContext(ctx, "tcp", to.String())
 }
 
--- a/standin/internal/fleet/process.go
+++ b/standin/internal/fleet/process.go
@@ -8,6 +8,8 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -85,6 +87,7 @@
 
 [Peer]
 Address = %q
+Seeds = [%s]
 ListAge = "5s"
 
 [Platform]
@@ -93,7 +96,16 @@
 [Stop]
 Wait = "1s"
 
-%s`, f.Deployment.Entries[e.Index], e.Caller, e.Operator, e.Peer, f.platformAddress(e.Index), f.Settings)
+%s`, f.Deployment.Entries[e.Index], e.Caller, e.Operator, e.Peer, f.seeds(), f.platformAddress(e.Index), f.Settings)
+}
+
+// seeds returns the peer addresses of all entry VMs as elements of an array.
+func (f *Fleet) seeds() string {
+	var as []string
+	for _, e := range f.Entries {
+		as = append(as, strconv.Quote(e.Peer.String()))
+	}
+	return strings.Join(as, ", ")
 }
 
 // Start starts the process; it must not be running.
