--- a/lentilbend/internal/backend/early.go
+++ b/lentilbend/internal/backend/early.go
@@ -10,13 +10,21 @@
 // early passes informational answers (1xx) on while the final one is awaited.
 type early struct {
 	writer http.ResponseWriter
+	trace  httptrace.ClientTrace
 
 	mu    sync.Mutex
 	ended bool
 }
 
-func (e *early) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{Got1xxResponse: e.pass}
+// begin passes informational answers on to w until end.
+func (e *early) begin(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.writer = w
+	e.ended = false
+	if e.trace.Got1xxResponse == nil {
+		e.trace.Got1xxResponse = e.pass
+	}
 }
 
 // pass writes one informational answer. 100 is the library's own matter.
--- a/lentilbend/internal/backend/forward.go
+++ b/lentilbend/internal/backend/forward.go
@@ -46,7 +46,8 @@
 		w.refuse(w.bodyResult(err))
 		return
 	}
-	w.header = prepare(x.Request)
+	w.tried = w.first[:0]
+	w.prepare()
 	w.run()
 }
 
--- a/lentilbend/internal/backend/header.go
+++ b/lentilbend/internal/backend/header.go
@@ -39,7 +39,8 @@
 
 // prepare turns the header of a caller's request into that for the backend
 // server.
-func prepare(r *http.Request) http.Header {
+func (w *work) prepare() {
+	r := w.exchange.Request
 	h := r.Header
 	trailers := acceptsTrailers(h)
 	removeHopByHop(h)
@@ -49,8 +50,8 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = noUserAgent
 	}
-	addForwarded(h, r)
-	return h
+	w.addForwarded(h, r)
+	w.header = h
 }
 
 func acceptsTrailers(h http.Header) bool {
@@ -66,19 +67,19 @@
 
 // addForwarded appends the caller's address to X-Forwarded-For and sets
 // X-Forwarded-Host and X-Forwarded-Proto where they are absent.
-func addForwarded(h http.Header, r *http.Request) {
+func (w *work) addForwarded(h http.Header, r *http.Request) {
 	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		v := a.Addr().Unmap().String()
 		if f := h["X-Forwarded-For"]; len(f) > 0 {
 			v = strings.Join(f, ", ") + ", " + v
 		}
-		h["X-Forwarded-For"] = []string{v}
+		h["X-Forwarded-For"] = w.value(v)
 	}
 	if _, ok := h["X-Forwarded-Host"]; !ok {
-		h["X-Forwarded-Host"] = []string{r.Host}
+		h["X-Forwarded-Host"] = w.value(r.Host)
 	}
 	if _, ok := h["X-Forwarded-Proto"]; !ok {
-		h["X-Forwarded-Proto"] = []string{scheme(r)}
+		h["X-Forwarded-Proto"] = w.value(scheme(r))
 	}
 }
 
--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -39,6 +39,22 @@
 	// reached says that a backend server's application may have seen the
 	// request.
 	reached bool
+	early   early
+	// values back the header fields that are set here, most of the time.
+	values [5]string
+	used   int
+	load   load.Report
+	first  [1]netip.AddrPort
+}
+
+// value returns a header field's values, which holds v alone.
+func (w *work) value(v string) []string {
+	if w.used == len(w.values) {
+		return []string{v}
+	}
+	w.values[w.used] = v
+	w.used++
+	return w.values[w.used-1 : w.used : w.used]
 }
 
 // run makes attempts until one is final.
@@ -152,8 +168,8 @@
 }
 
 func (w *work) roundTrip(c *pool.Conn, s *state) (*http.Response, error) {
-	e := &early{writer: w.exchange.Writer}
-	defer e.end()
+	w.early.begin(w.exchange.Writer)
+	defer w.early.end()
 	t := pool.Trip{
 		Kind:     w.exchange.Route.Kind,
 		Deadline: w.exchange.Deadline,
@@ -162,7 +178,7 @@
 	if w.mayRunAgain() {
 		t.Silent = func() { w.abandon(c, s) }
 	}
-	return c.RoundTrip(w.request(httptrace.WithClientTrace(w.ctx, e.trace())), t)
+	return c.RoundTrip(w.request(httptrace.WithClientTrace(w.ctx, &w.early.trace), c.Host()), t)
 }
 
 // abandon gives a silent request up when the budget pays for another try.
@@ -176,7 +192,7 @@
 }
 
 // request makes the request for the next try.
-func (w *work) request(ctx context.Context) *http.Request {
+func (w *work) request(ctx context.Context, host string) *http.Request {
 	w.exchange.Attempts++
 	if w.exchange.Attempts > 1 {
 		w.header = maps.Clone(w.header)
@@ -185,13 +201,13 @@
 	if left > 2*returnMargin {
 		left -= returnMargin
 	}
-	w.header[exchange.TimeoutHeader] = []string{exchange.FormatTimeout(max(0, left))}
-	w.header[exchange.AttemptHeader] = []string{strconv.Itoa(w.incoming + len(w.tried) - 1)}
+	w.header[exchange.TimeoutHeader] = w.value(exchange.FormatTimeout(max(0, left)))
+	w.header[exchange.AttemptHeader] = w.value(strconv.Itoa(w.incoming + len(w.tried) - 1))
 	r := w.exchange.Request
 	o := &http.Request{
 		Method: r.Method,
 		URL: &url.URL{
-			Scheme: "http", Host: w.tried[len(w.tried)-1].String(),
+			Scheme: "http", Host: host,
 			Path: r.URL.Path, RawPath: r.URL.RawPath,
 			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 		},
@@ -264,7 +280,7 @@
 	c.Answered(first)
 	if a.Header.Get(load.RunHeader) == load.NotRun {
 		w.finish(c, a)
-		w.end(call, choice.Shed{Load: report(a.Header)})
+		w.end(call, choice.Shed{Load: w.report(a.Header)})
 		return shed{retryAfter: retryAfter(a.Header)}
 	}
 	w.reached = true
@@ -273,7 +289,7 @@
 		w.end(call, choice.Failed{})
 		return broken{}
 	}
-	return w.pass(answered{response: a, conn: c, call: call, first: first, load: report(a.Header)})
+	return w.pass(answered{response: a, conn: c, call: call, first: first, load: w.report(a.Header)})
 }
 
 // finish reads the short rest of an answer, so that its connection can be used
@@ -287,7 +303,7 @@
 }
 
 // report returns the load that the server reports, or nil.
-func report(h http.Header) *load.Report {
+func (w *work) report(h http.Header) *load.Report {
 	vs := h[load.Header]
 	if len(vs) == 0 {
 		return nil
@@ -296,7 +312,8 @@
 	if !ok {
 		return nil
 	}
-	return &r
+	w.load = r
+	return &w.load
 }
 
 // retryAfter returns the server's Retry-After in seconds, or 0.
--- a/lentilbend/internal/caller/server.go
+++ b/lentilbend/internal/caller/server.go
@@ -12,8 +12,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-
 	"lentilbend.example/lentilbend/internal/settings"
 )
 
@@ -61,13 +59,11 @@
 }
 
 func (s *Server) configure() {
-	m := chi.NewRouter()
-	m.Handle("/*", s.Handler)
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
-	s.server.Handler = m
+	s.server.Handler = s.Handler
 	s.server.Protocols = p
 	s.server.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
 	s.server.ReadHeaderTimeout = s.Settings.HeaderTimeout
--- a/lentilbend/internal/pool/conn.go
+++ b/lentilbend/internal/pool/conn.go
@@ -41,6 +41,11 @@
 	return c.client.RoundTrip(r)
 }
 
+// Host returns the server's address as text.
+func (c *Conn) Host() string {
+	return c.pool.host
+}
+
 // Written reports whether any byte of the current request was written. It is
 // exact once RoundTrip has returned.
 func (c *Conn) Written() bool {
--- a/lentilbend/internal/pool/open.go
+++ b/lentilbend/internal/pool/open.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.set.DialTimeout)
 	defer cancel()
 	c := &Conn{pool: p}
-	client, err := p.client.NewClientConn(context.WithValue(ctx, connKey{}, c), "http", p.address.String())
+	client, err := p.client.NewClientConn(context.WithValue(ctx, connKey{}, c), "http", p.host)
 	if err != nil {
 		p.dialed(nil, err)
 		return
--- a/lentilbend/internal/pool/pool.go
+++ b/lentilbend/internal/pool/pool.go
@@ -26,6 +26,7 @@
 type Pool struct {
 	set     *Set
 	address netip.AddrPort
+	host    string
 	client  *http.Transport
 
 	mu       sync.Mutex
--- a/lentilbend/internal/pool/set.go
+++ b/lentilbend/internal/pool/set.go
@@ -49,6 +49,7 @@
 	n := &Pool{
 		set:      s,
 		address:  server,
+		host:     server.String(),
 		client:   newTransport(s.Now),
 		busy:     map[*Conn]struct{}{},
 		usual:    map[string]*usual{},
