Show as in force only what requests go by

Change: lentilbend_table_revision is 0 until the VM has settled; a second gauge shows the accepted revision. Conclusion: the metric now says what its help text says.

--- a/lentilbend/internal/serve/config.go
+++ b/lentilbend/internal/serve/config.go
@@ -38,7 +38,7 @@
 		Members: p.answering,
 		Resync:  p.reader.Resync,
 	}
-	p.store.Register(p.registry)
+	p.store.Register(p.registry, p.inForce)
 	p.reader.Register(p.registry)
 	p.parts["Store"] = p.store
 	p.parts["VmList"] = p.list
--- a/lentilbend/internal/serve/settle.go
+++ b/lentilbend/internal/serve/settle.go
@@ -38,6 +38,15 @@
 	return p.store.Table()
 }
 
+// inForce returns the revision that requests go by, or 0 while there is none.
+func (p *Process) inForce() uint64 {
+	t := p.table()
+	if t == nil {
+		return 0
+	}
+	return t.Revision
+}
+
 // alone tells whether the VM list, once known, shows no other entry VM.
 func (p *Process) alone() bool {
 	l, known := p.list.Newest()
--- a/lentilbend/internal/store/dump.go
+++ b/lentilbend/internal/store/dump.go
@@ -9,7 +9,7 @@
 
 // Dump is the state of a store.
 type Dump struct {
-	// Revision is the revision in force.
+	// Revision is the accepted revision.
 	Revision uint64
 	// Digest is the hash over the values in force.
 	Digest uint64
@@ -47,12 +47,17 @@
 	return d
 }
 
-// Register adds the store's metrics.
-func (s *Store) Register(r prometheus.Registerer) {
+// Register adds the store's metrics. InForce returns the revision that requests
+// go by, or 0 while there is none.
+func (s *Store) Register(r prometheus.Registerer, inForce func() uint64) {
 	r.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "lentilbend_table_revision",
 			Help: "Revision of the table in force.",
+		}, func() float64 { return float64(inForce()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "lentilbend_table_accepted_revision",
+			Help: "Newest valid revision known.",
 		}, func() float64 { return float64(s.Accepted().Revision) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "lentilbend_table_newest_revision",
