Keep limits over all entry VMs with loans and tokens

Cause: a workspace's rate, burst and running requests, the probe budget and cold allowances hold over all entry VMs together, and nothing may be written to a shared place. Change: internal/limit lends the own share of each limit to a home found by rendezvous hashing, which gives tokens that stay charged against the burst until they can no longer be used. internal/limit/virtual runs several VMs in virtual time with loss, repeats, delays, drift, crashes, pauses and cuts.

--- /dev/null
+++ b/internal/limit/run.go
@@ -0,0 +1,254 @@
+package limit
+
+import (
+	"slices"
+	"time"
+
+	"lentilbend.example/internal/peerpb"
+)
+
+// Take asks for one token or unit of a limit for a request that ends by the
+// deadline. It calls done once: at once when it can be decided here, else when
+// the home answered or a short time ran out, from Receive, Tick, Set, Members
+// or Pause. Without a limit of that key it refuses.
+func (f *Fleet) Take(now time.Time, k Key, deadline time.Time, done func(Answer)) {
+	b := f.find(k)
+	if b == nil {
+		done(Refused{})
+		return
+	}
+	b.mu.Lock()
+	a := b.take(f, now, deadline, done)
+	b.mu.Unlock()
+	if a != nil {
+		done(a)
+	}
+}
+
+func (f *Fleet) find(k Key) *bucket {
+	n := f.buckets.Load()
+	if n == nil {
+		return nil
+	}
+	return n.byKey[k]
+}
+
+// Return gives back a unit that Take granted.
+func (f *Fleet) Return(now time.Time, k Key) {
+	b := f.find(k)
+	if b == nil || !b.kind.counted() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := &b.taker
+	if t.running == 0 {
+		b.running = max(0, b.running-1)
+		return
+	}
+	t.running--
+	if t.scarce {
+		b.drop()
+	}
+	b.trim(now)
+	if t.scarce && t.home != nil && !t.pending {
+		f.post(now, t.home, &peerpb.LimitMessage{Asks: []*peerpb.LimitAsk{b.report()}})
+	}
+}
+
+// drop gives up the units that are not in use.
+func (b *bucket) drop() {
+	t := &b.taker
+	idle := t.tokens() - t.running
+	for i := 0; i < len(t.lots) && idle > 0; i++ {
+		n := min(idle, t.lots[i].tokens)
+		t.lots[i].tokens -= n
+		idle -= n
+	}
+	t.lots = keep(t.lots, func(l lot) bool { return l.tokens > 0 })
+}
+
+// Tick does what is due: it ends waits, gives loans back and renews them.
+func (f *Fleet) Tick(now time.Time) {
+	f.mu.Lock()
+	if f.start.IsZero() || f.paused {
+		f.mu.Unlock()
+		return
+	}
+	var rs []reply
+	out := map[ID]*peerpb.LimitMessage{}
+	for _, b := range f.buckets.Load().sorted() {
+		b.mu.Lock()
+		rs = append(rs, f.step(now, b, out)...)
+		b.mu.Unlock()
+	}
+	for _, id := range sortedIDs(out) {
+		if p := f.peers[id]; p != nil {
+			f.post(now, p, out[id])
+		}
+	}
+	f.renew(now)
+	f.mu.Unlock()
+	answer(rs)
+}
+
+// step does what is due for one bucket.
+func (f *Fleet) step(now time.Time, b *bucket, out map[ID]*peerpb.LimitMessage) []reply {
+	b.refill(now)
+	b.taker.demand.step(now)
+	f.giveBack(now, b, out)
+	rs := b.overdue(f, now)
+	t := &b.taker
+	b.trim(now)
+	if b.kind.counted() && t.home != nil && !t.pending && t.tokens() < t.reported {
+		m := message(out, t.home.id)
+		m.Asks = append(m.Asks, b.report())
+	}
+	return rs
+}
+
+// Receive takes in a message of another VM. Messages that are repeated or late
+// are dropped.
+func (f *Fleet) Receive(now time.Time, from ID, m *peerpb.LimitMessage) {
+	f.mu.Lock()
+	p := f.peers[from]
+	if p == nil || f.paused || m.GetTo() != f.Self.Incarnation || m.GetSent() <= p.echo {
+		f.mu.Unlock()
+		return
+	}
+	p.echo, p.heard = m.GetSent(), now
+	if m.GetRenewal() {
+		f.renewed(now, p, m)
+	}
+	f.mu.Unlock()
+	f.take(now, p, m)
+}
+
+// take takes in what a message says beside loans.
+func (f *Fleet) take(now time.Time, p *peer, m *peerpb.LimitMessage) {
+	n := f.buckets.Load()
+	for _, r := range m.GetReturns() {
+		if b := n.byID[r.GetLimit()]; b != nil {
+			b.mu.Lock()
+			b.returned(now, p.id, r.GetSerial(), float64(r.GetLevel())/milli)
+			b.mu.Unlock()
+		}
+	}
+	var gs []*peerpb.LimitGrant
+	for _, a := range m.GetAsks() {
+		if b := n.byID[a.GetLimit()]; b != nil {
+			b.mu.Lock()
+			g := b.asked(f, now, p, a)
+			b.mu.Unlock()
+			gs = append(gs, g)
+		}
+	}
+	gs = slices.DeleteFunc(gs, func(g *peerpb.LimitGrant) bool { return g == nil })
+	if len(gs) > 0 {
+		f.post(now, p, &peerpb.LimitMessage{Grants: gs})
+	}
+	for _, g := range m.GetGrants() {
+		if b := n.byID[g.GetLimit()]; b != nil {
+			b.mu.Lock()
+			rs := b.granted(f, now, p, g)
+			b.mu.Unlock()
+			answer(rs)
+		}
+	}
+}
+
+// Pause drops everything that may have ended while the process did not run. It
+// grants nothing until Members is called.
+func (f *Fleet) Pause(now time.Time) {
+	f.mu.Lock()
+	if f.start.IsZero() {
+		f.mu.Unlock()
+		return
+	}
+	f.paused = true
+	f.notBefore = f.stamp(now)
+	var rs []reply
+	for _, b := range f.buckets.Load().byKey {
+		b.mu.Lock()
+		rs = append(rs, b.pause(now)...)
+		b.mu.Unlock()
+	}
+	f.mu.Unlock()
+	answer(rs)
+}
+
+func (b *bucket) pause(now time.Time) []reply {
+	b.refill(now)
+	b.share = 0
+	b.loans = nil
+	b.recount()
+	if b.kind.counted() {
+		b.drop()
+	} else {
+		b.taker.lots = nil
+	}
+	return b.taker.dismiss()
+}
+
+// Leave begins a planned stop: the own share is used no more, and loans go back
+// both ways. Requests are served with tokens of the homes.
+func (f *Fleet) Leave(now time.Time) {
+	f.mu.Lock()
+	if f.start.IsZero() {
+		f.mu.Unlock()
+		return
+	}
+	f.leaving = true
+	f.shares(now)
+	f.place(now)
+	for _, p := range f.peers {
+		p.due = now
+	}
+	f.mu.Unlock()
+	f.Tick(now)
+}
+
+// HeldUntil is until when others may use loans or tokens of this VM's share of
+// a rate. A VM that leaves gives its share up no earlier.
+func (f *Fleet) HeldUntil(now time.Time) time.Time {
+	return f.latest(now, func(b *bucket) bool { return !b.kind.counted() })
+}
+
+// RunningUntil is the latest time at which work may run under this VM's share
+// of limits on requests at once.
+func (f *Fleet) RunningUntil(now time.Time) time.Time {
+	return f.latest(now, func(b *bucket) bool { return b.kind.counted() })
+}
+
+func (f *Fleet) latest(now time.Time, of func(*bucket) bool) time.Time {
+	r := now
+	n := f.buckets.Load()
+	if n == nil {
+		return r
+	}
+	for _, b := range n.byKey {
+		b.mu.Lock()
+		if of(b) {
+			r = b.busyUntil(now, r)
+		}
+		b.mu.Unlock()
+	}
+	return r
+}
+
+// busyUntil is the later of r and the end of what is out of the bucket.
+func (b *bucket) busyUntil(now, r time.Time) time.Time {
+	b.refill(now)
+	if b.lent.part > 0 && b.lent.until.After(r) {
+		r = b.lent.until
+	}
+	for _, c := range b.charges {
+		if c.until.After(r) {
+			r = c.until
+		}
+	}
+	if b.running+b.taker.running > 0 && b.runningUntil.After(r) {
+		r = b.runningUntil
+	}
+	return r
+}
--- /dev/null
+++ b/internal/limit/schedule_test.go
@@ -0,0 +1,192 @@
+package limit_test
+
+import (
+	"flag"
+	"math/rand"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"lentilbend.example/internal/limit"
+	"lentilbend.example/internal/limit/virtual"
+)
+
+// Size of the search over random schedules.
+const (
+	schedules   = "2500"
+	seed        = "1"
+	length      = 60 * time.Second
+	faultEvery  = 8 * time.Second
+	longestWork = 3 * time.Second
+)
+
+func key(kind limit.Kind, name string) limit.Key {
+	return limit.Key{Kind: kind, Service: "till", Workspace: name}
+}
+
+// schedule is one random run with its checkers.
+type schedule struct {
+	world    *virtual.World
+	random   *rand.Rand
+	checkers map[limit.Key]*virtual.Checker
+	port     uint16
+}
+
+func (s *schedule) address() netip.AddrPort {
+	s.port++
+	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), s.port)
+}
+
+func newSchedule(t *rapid.T) *schedule {
+	r := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+	s := &schedule{random: r, checkers: map[limit.Key]*virtual.Checker{}}
+	s.world = &virtual.World{
+		Random:  r,
+		Delay:   time.Millisecond,
+		Spread:  time.Duration(rapid.IntRange(1, 40).Draw(t, "spread")) * time.Millisecond,
+		Loss:    rapid.SampledFrom([]float64{0, 0.01, 0.2}).Draw(t, "loss"),
+		Repeat:  rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "repeat"),
+		Late:    rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "late"),
+		LateMax: 20 * time.Second,
+		Drift:   0.01,
+		Skew:    0.01,
+		Wrong:   rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "wrong"),
+		Promise: 20 * time.Second,
+		Forget:  2 * time.Second,
+		Longest: longestWork,
+		Specs: []limit.Spec{
+			{Key: key(limit.Rate, "small"), Rate: 4, Burst: 8},
+			{Key: key(limit.Rate, "large"), Rate: 60, Burst: 200},
+			{Key: key(limit.Running, "few"), Units: 3},
+			{Key: key(limit.Running, "many"), Units: 40},
+			{Key: key(limit.Cold, "cold"), Rate: 5, Burst: 2},
+		},
+	}
+	for _, p := range s.world.Specs {
+		s.checkers[p.Key] = &virtual.Checker{Rate: p.Rate, Burst: p.Burst, Units: p.Units}
+	}
+	for range rapid.IntRange(2, 5).Draw(t, "vms") {
+		s.world.Start(s.address(), true)
+	}
+	return s
+}
+
+// arrive spreads requests for every limit, at about load times its rate.
+func (s *schedule) arrive(load float64) {
+	for k, c := range s.checkers {
+		r := c.Rate
+		if c.Units > 0 {
+			r = float64(c.Units)
+		}
+		s.next(k, load*r)
+	}
+}
+
+func (s *schedule) next(k limit.Key, rate float64) {
+	w := s.world
+	d := time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
+	w.At(w.Now()+d, func() {
+		s.request(k, w.VMs[s.random.Intn(len(w.VMs))])
+		s.next(k, rate)
+	})
+}
+
+func (s *schedule) request(k limit.Key, v *virtual.VM) {
+	if !v.Alive || v.Frozen {
+		return
+	}
+	c := s.checkers[k]
+	d := time.Duration(s.random.Int63n(int64(longestWork)))
+	v.Fleet.Take(v.Now(), k, v.Now().Add(d), func(a limit.Answer) {
+		if _, ok := a.(limit.Granted); !ok {
+			return
+		}
+		c.Use(s.world.Now())
+		if c.Units > 0 {
+			s.work(k, v, c, d)
+		}
+	})
+}
+
+// work holds a unit. A VM that has crashed or is frozen does not give it back,
+// but the backend server ends the work by the deadline.
+func (s *schedule) work(k limit.Key, v *virtual.VM, c *virtual.Checker, d time.Duration) {
+	w := s.world
+	w.At(w.Now()+d*98/100, func() {
+		c.Done()
+		v.Do(func() { v.Fleet.Return(v.Now(), k) })
+	})
+}
+
+// fault does one random thing to the fleet.
+func (s *schedule) fault(n int) {
+	w := s.world
+	v := w.VMs[s.random.Intn(len(w.VMs))]
+	if !v.Alive {
+		return
+	}
+	long := time.Duration(s.random.Int63n(int64(30 * time.Second)))
+	switch n {
+	case 0:
+		w.Crash(v)
+		w.At(w.Now()+long/4, func() { w.Start(s.address(), false) })
+	case 1:
+		w.Crash(v)
+		w.Start(v.ID.Address, false)
+	case 2:
+		w.Freeze(v, long, s.random.Intn(2) == 0)
+	case 3:
+		v.Isolated = true
+		w.Cut(func(a, b *virtual.VM) bool { return a == v || b == v })
+		w.At(w.Now()+long, func() { v.Isolated = false; w.Cut(nil) })
+	case 4:
+		w.Cut(func(a, b *virtual.VM) bool { return a == v })
+		w.At(w.Now()+long, func() { w.Cut(nil) })
+	case 5:
+		w.Start(s.address(), false)
+	case 6:
+		v.Leaving = true
+		v.Fleet.Leave(v.Now())
+		w.At(w.Now()+long/2, func() { w.Crash(v) })
+	}
+}
+
+func (s *schedule) over() map[string]int {
+	m := map[string]int{}
+	for k, c := range s.checkers {
+		if c.Over > 0 {
+			m[k.Workspace] = c.Over
+		}
+	}
+	return m
+}
+
+var _ = Describe("random schedules", func() {
+	It("never pass a limit in any interval", func() {
+		Expect(flag.Set("rapid.seed", seed)).To(Succeed())
+		Expect(flag.Set("rapid.checks", schedules)).To(Succeed())
+		Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
+		used := map[string]int{}
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s := newSchedule(t)
+			s.arrive(rapid.SampledFrom([]float64{0.5, 0.9, 3}).Draw(t, "load"))
+			for at := faultEvery; at < length; at += faultEvery {
+				n := rapid.IntRange(0, 8).Draw(t, "fault")
+				s.world.At(at, func() { s.fault(n) })
+			}
+			s.world.Run(length)
+			if o := s.over(); len(o) > 0 {
+				t.Fatalf("over the limit: %v", o)
+			}
+			for k, c := range s.checkers {
+				used[k.Workspace] += c.Used
+			}
+		})
+		for _, k := range []string{"small", "large", "few", "many", "cold"} {
+			Expect(used[k]).To(BeNumerically(">", 0), k)
+		}
+	})
+})
