--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"lentilbend.example/internal/member"
 )
 
 // epsilon is the error of a sum of fractions, in tokens.
@@ -61,7 +63,7 @@
 
 // lent is the own share while another VM may use a part of it.
 type lent struct {
-	to     ID
+	to     member.ID
 	serial uint32
 	part   int
 	level  float64
@@ -73,7 +75,7 @@
 
 // loan is a part of another VM's share.
 type loan struct {
-	from   ID
+	from   member.ID
 	serial uint32
 	part   float64
 	until  time.Time
@@ -84,7 +86,7 @@
 
 // charge is what another VM may still use of tokens given to it.
 type charge struct {
-	to     ID
+	to     member.ID
 	number uint32
 	tokens int
 	until  time.Time
--- a/internal/limit/fleet.go
+++ b/internal/limit/fleet.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
@@ -21,14 +22,14 @@
 
 // Send is one message to another entry VM.
 type Send struct {
-	To      ID
+	To      member.ID
 	Message *peerpb.LimitMessage
 }
 
 // Fleet holds this VM's part of every limit. Set the exported fields before
 // use. Its methods may be called by many goroutines.
 type Fleet struct {
-	Self ID
+	Self member.ID
 	// Drift bounds how much two VMs' clocks differ over a loan, as a part of 1.
 	Drift float64
 	// Skew bounds how much faster than real time this VM's clock runs over
@@ -47,9 +48,9 @@
 
 	mu      sync.Mutex
 	start   time.Time
-	share   Share
-	members []Member
-	peers   map[ID]*peer
+	share   member.Share
+	members []member.Member
+	peers   map[member.ID]*peer
 	leaving bool
 	paused  bool
 	// notBefore is the earliest own time that loans may count from.
@@ -71,7 +72,7 @@
 		return
 	}
 	f.start = now
-	f.peers = map[ID]*peer{}
+	f.peers = map[member.ID]*peer{}
 	f.buckets.Store(&index{})
 	if f.RunMax == 0 {
 		f.RunMax = DefaultRunMax
@@ -169,7 +170,7 @@
 
 // Members tells the own share and the VMs of the fleet. It is called after each
 // change, and after a pause before anything is granted again.
-func (f *Fleet) Members(now time.Time, s Share, ms []Member) {
+func (f *Fleet) Members(now time.Time, s member.Share, ms []member.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.init(now)
@@ -230,13 +231,13 @@
 	}
 }
 
-func (f *Fleet) isMember(id ID) bool {
-	return slices.ContainsFunc(f.members, func(m Member) bool { return m.ID == id })
+func (f *Fleet) isMember(id member.ID) bool {
+	return slices.ContainsFunc(f.members, func(m member.Member) bool { return m.ID == id })
 }
 
 // place finds the home of every limit.
 func (f *Fleet) place(now time.Time) {
-	var cs []ID
+	var cs []member.ID
 	if !f.leaving {
 		cs = append(cs, f.Self)
 	}
--- a/internal/limit/home.go
+++ b/internal/limit/home.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
@@ -69,7 +70,7 @@
 
 // settle lowers the charges to what the other VM says is left of the grants
 // that it has seen. The tokens that end first were used first.
-func (b *bucket) settle(to ID, a *peerpb.LimitAsk) {
+func (b *bucket) settle(to member.ID, a *peerpb.LimitAsk) {
 	left := -int(a.GetHeld())
 	for _, c := range b.charges {
 		if c.to == to && c.number <= a.GetSeen() {
@@ -87,7 +88,7 @@
 }
 
 // first returns the charge that ends first of those up to a number.
-func (b *bucket) first(to ID, number uint32) *charge {
+func (b *bucket) first(to member.ID, number uint32) *charge {
 	var r *charge
 	for i := range b.charges {
 		c := &b.charges[i]
@@ -127,7 +128,7 @@
 }
 
 // recall stops using the loan of a lender and puts its part of the level aside.
-func (b *bucket) recall(now time.Time, from ID) {
+func (b *bucket) recall(now time.Time, from member.ID) {
 	b.refill(now)
 	for i := range b.loans {
 		l := &b.loans[i]
--- a/internal/limit/lender.go
+++ b/internal/limit/lender.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lentilbend.example/internal/member"
 )
 
 // Bounds of lending.
@@ -60,7 +62,7 @@
 
 // lend starts or renews the loan of a part of the own share. It returns false
 // if there is none to p.
-func (b *bucket) lend(now time.Time, p ID, until time.Time) bool {
+func (b *bucket) lend(now time.Time, p member.ID, until time.Time) bool {
 	b.refill(now)
 	w := b.wish(now)
 	if w > 0 && b.taker.home.id != p {
@@ -81,7 +83,7 @@
 }
 
 // renew extends a loan whose part is still near what should be lent.
-func (b *bucket) renew(w int, p ID, until time.Time) bool {
+func (b *bucket) renew(w int, p member.ID, until time.Time) bool {
 	d := w - b.lent.part
 	if b.lent.to != p || w == 0 || b.share <= 0 || d >= partStep || -d >= partStep || b.lent.ending {
 		b.lent.ending = b.lent.ending || b.lent.to == p
@@ -95,7 +97,7 @@
 }
 
 // returned ends the loan before its time.
-func (b *bucket) returned(now time.Time, from ID, serial uint32, level float64) {
+func (b *bucket) returned(now time.Time, from member.ID, serial uint32, level float64) {
 	b.refill(now)
 	if b.lent.part == 0 || b.lent.to != from || b.lent.serial != serial {
 		return
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -14,17 +14,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"lentilbend.example/internal/member"
 )
 
 // LoanMax is the longest time for which a loan or a token of a rate may be
 // used after the lender's share changed.
-const LoanMax = 16 * time.Second
-
-// ID names a process on an entry VM.
-type ID struct {
-	Address     netip.AddrPort
-	Incarnation uint64
-}
+const LoanMax = 12 * time.Second
 
 // Kind tells what a limit counts.
 type Kind int
@@ -59,24 +55,6 @@
 	Longest time.Duration
 }
 
-// Share is the part of each limit that this VM owns. Rates: one part in Count
-// while Usable and before Until. Units: one part in RunningCount while
-// RunningUsable and before Until.
-type Share struct {
-	Count         int
-	RunningCount  int
-	Usable        bool
-	RunningUsable bool
-	Until         time.Time
-}
-
-// Member is an entry VM as this VM sees it.
-type Member struct {
-	ID        ID
-	Answering bool
-	Leaving   bool
-}
-
 // Answer is Granted or Refused.
 type Answer interface {
 	answer()
@@ -141,8 +119,8 @@
 }
 
 // home returns the candidate with the highest score.
-func home(limit uint32, candidates []ID) (ID, bool) {
-	var best ID
+func home(limit uint32, candidates []member.ID) (member.ID, bool) {
+	var best member.ID
 	var top uint64
 	for i, c := range candidates {
 		if s := score(limit, c.Address); i == 0 || s > top {
--- a/internal/limit/peer.go
+++ b/internal/limit/peer.go
@@ -6,12 +6,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
 // peer is another entry VM.
 type peer struct {
-	id ID
+	id member.ID
 
 	// out orders the messages to the peer.
 	out  sync.Mutex
@@ -34,7 +35,7 @@
 	wanted map[uint32]bool
 }
 
-func newPeer(id ID) *peer {
+func newPeer(id member.ID) *peer {
 	return &peer{
 		id:       id,
 		borrowed: map[uint32]uint32{},
--- a/internal/limit/renew.go
+++ b/internal/limit/renew.go
@@ -4,13 +4,14 @@
 	"slices"
 	"time"
 
+	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
 // Times of renewals.
 const (
 	minPeriod = time.Second
-	maxPeriod = 5 * time.Second
+	maxPeriod = 4 * time.Second
 	// loanPeriods is the length of a loan in periods.
 	loanPeriods = 3
 	minLoan     = 500 * time.Millisecond
@@ -32,7 +33,7 @@
 
 // renew sends the renewals that are due.
 func (f *Fleet) renew(now time.Time) {
-	due := map[ID]*peer{}
+	due := map[member.ID]*peer{}
 	for id, p := range f.peers {
 		if !now.Before(p.due) && f.isMember(id) {
 			due[id] = p
@@ -42,7 +43,7 @@
 	if len(due) == 0 {
 		return
 	}
-	ms := map[ID]*peerpb.LimitMessage{}
+	ms := map[member.ID]*peerpb.LimitMessage{}
 	for id, p := range due {
 		ms[id] = &peerpb.LimitMessage{Renewal: true, Echo: p.echo}
 	}
@@ -56,7 +57,7 @@
 }
 
 // enter puts what is to be said of a bucket into the renewals.
-func (f *Fleet) enter(now time.Time, b *bucket, due map[ID]*peer, ms map[ID]*peerpb.LimitMessage) {
+func (f *Fleet) enter(now time.Time, b *bucket, due map[member.ID]*peer, ms map[member.ID]*peerpb.LimitMessage) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := &b.taker
@@ -161,7 +162,7 @@
 
 // giveBack returns the loans that are recalled or came to a VM that is not the
 // home.
-func (f *Fleet) giveBack(now time.Time, b *bucket, out map[ID]*peerpb.LimitMessage) {
+func (f *Fleet) giveBack(now time.Time, b *bucket, out map[member.ID]*peerpb.LimitMessage) {
 	if len(b.loans) == 0 {
 		return
 	}
@@ -182,19 +183,19 @@
 	}
 }
 
-func message(out map[ID]*peerpb.LimitMessage, to ID) *peerpb.LimitMessage {
+func message(out map[member.ID]*peerpb.LimitMessage, to member.ID) *peerpb.LimitMessage {
 	if out[to] == nil {
 		out[to] = &peerpb.LimitMessage{}
 	}
 	return out[to]
 }
 
-func sortedIDs[T any](m map[ID]T) []ID {
-	var ids []ID
+func sortedIDs[T any](m map[member.ID]T) []member.ID {
+	var ids []member.ID
 	for id := range m {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(a, b ID) int {
+	slices.SortFunc(ids, func(a, b member.ID) int {
 		if c := a.Address.Compare(b.Address); c != 0 {
 			return c
 		}
--- a/internal/limit/run.go
+++ b/internal/limit/run.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
@@ -83,7 +84,7 @@
 		return
 	}
 	var rs []reply
-	out := map[ID]*peerpb.LimitMessage{}
+	out := map[member.ID]*peerpb.LimitMessage{}
 	for _, b := range f.buckets.Load().sorted() {
 		b.mu.Lock()
 		rs = append(rs, f.step(now, b, out)...)
@@ -100,7 +101,7 @@
 }
 
 // step does what is due for one bucket.
-func (f *Fleet) step(now time.Time, b *bucket, out map[ID]*peerpb.LimitMessage) []reply {
+func (f *Fleet) step(now time.Time, b *bucket, out map[member.ID]*peerpb.LimitMessage) []reply {
 	b.refill(now)
 	b.taker.demand.step(now)
 	f.giveBack(now, b, out)
@@ -116,7 +117,7 @@
 
 // Receive takes in a message of another VM. Messages that are repeated or late
 // are dropped.
-func (f *Fleet) Receive(now time.Time, from ID, m *peerpb.LimitMessage) {
+func (f *Fleet) Receive(now time.Time, from member.ID, m *peerpb.LimitMessage) {
 	f.mu.Lock()
 	p := f.peers[from]
 	if p == nil || f.paused || m.GetTo() != f.Self.Incarnation || m.GetSent() <= p.echo {
--- a/internal/limit/virtual/members.go
+++ b/internal/limit/virtual/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilbend.example/internal/limit"
+	"lentilbend.example/internal/member"
 )
 
 // promise is the state of a VM's own share.
@@ -22,12 +23,12 @@
 	// lost says that some VM forgot this one.
 	lost bool
 	// forgetAt is when others may forget the VM.
-	forgetAt map[limit.ID]time.Duration
+	forgetAt map[member.ID]time.Duration
 }
 
 // join adds a VM. An old one is counted by all from the start.
 func (w *World) join(v *VM, old bool) {
-	v.forgetAt = map[limit.ID]time.Duration{}
+	v.forgetAt = map[member.ID]time.Duration{}
 	w.countAll(v)
 	if !old {
 		return
@@ -140,14 +141,14 @@
 	}
 }
 
-func (w *World) share(v *VM) limit.Share {
+func (w *World) share(v *VM) member.Share {
 	n := 1
 	for id := range v.counts {
 		if id != v.ID {
 			n++
 		}
 	}
-	return limit.Share{
+	return member.Share{
 		Count:         n,
 		RunningCount:  n,
 		Usable:        v.joined && w.now >= v.usable,
@@ -157,8 +158,8 @@
 }
 
 // members is who v believes to answer.
-func (w *World) members(v *VM) []limit.Member {
-	var ms []limit.Member
+func (w *World) members(v *VM) []member.Member {
+	var ms []member.Member
 	for _, o := range w.VMs {
 		if o == v || !v.counts[o.ID] {
 			continue
@@ -167,7 +168,7 @@
 		if w.Random.Float64() < w.Wrong {
 			ok = !ok
 		}
-		ms = append(ms, limit.Member{ID: o.ID, Answering: ok, Leaving: o.Leaving})
+		ms = append(ms, member.Member{ID: o.ID, Answering: ok, Leaving: o.Leaving})
 	}
 	return ms
 }
--- a/internal/limit/virtual/world.go
+++ b/internal/limit/virtual/world.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lentilbend.example/internal/limit"
+	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
@@ -65,7 +66,7 @@
 
 // VM is one process on an entry VM.
 type VM struct {
-	ID    limit.ID
+	ID    member.ID
 	Fleet *limit.Fleet
 	// Alive is false after a crash, Frozen while the VM does not run.
 	Alive  bool
@@ -82,7 +83,7 @@
 	base   time.Time
 	since  time.Duration
 	mail   []func()
-	counts map[limit.ID]bool
+	counts map[member.ID]bool
 	promise
 }
 
@@ -112,13 +113,13 @@
 func (w *World) Start(a netip.AddrPort, old bool) *VM {
 	w.serial++
 	v := &VM{
-		ID:     limit.ID{Address: a, Incarnation: w.serial},
+		ID:     member.ID{Address: a, Incarnation: w.serial},
 		Alive:  true,
 		world:  w,
 		rate:   1 + w.Drift*(2*w.Random.Float64()-1),
 		base:   start.Add(time.Duration(w.Random.Int63n(int64(time.Hour)))),
 		since:  w.now,
-		counts: map[limit.ID]bool{},
+		counts: map[member.ID]bool{},
 	}
 	v.Fleet = &limit.Fleet{
 		Self:   v.ID,
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -15,18 +14,22 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"lentilbend.example/internal/event"
 	"lentilbend.example/internal/timer"
 
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
-	"lentilbend.example/lentilbend/internal/exchange"
-	"lentilbend.example/lentilbend/internal/filter/key"
-	"lentilbend.example/lentilbend/internal/filter/route"
+	"lentilbend.example/lentilbend/internal/chooser"
+	"lentilbend.example/lentilbend/internal/filter/share"
+	"lentilbend.example/lentilbend/internal/fleet"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
+	"lentilbend.example/lentilbend/internal/peer"
 	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/pool"
+	"lentilbend.example/lentilbend/internal/relay"
 	"lentilbend.example/lentilbend/internal/settings"
 	"lentilbend.example/lentilbend/internal/store"
 )
@@ -46,10 +49,24 @@
 	bus      *event.Bus
 	timer    *timer.Service
 	store    *store.Store
-	watcher  *platform.Watcher
+	list     *platform.List
+	reader   *platform.Reader
+	relay    *relay.Relay
+	hub      *peer.Hub
+	fleet    *fleet.Fleet
 	caller   *caller.Server
 	operator *operator.Server
-	stopping atomic.Bool
+	registry *prometheus.Registry
+	// pools and forwarder lead to the backend servers.
+	pools     *pool.Set
+	forwarder *backend.Forwarder
+	parts     map[string]operator.Dumper
+	stopping  atomic.Bool
+
+	services    *chooser.Services
+	share       *share.Filter
+	started     time.Time
+	settledOnce atomic.Bool
 }
 
 // Run serves until SIGTERM or SIGINT and a planned stop, or until a part
@@ -69,8 +86,13 @@
 		}()
 	}
 	run(func() error { return p.timer.Run(ctx) })
-	run(func() error { return p.watcher.Run(ctx) })
+	run(func() error { return p.hub.Run(ctx) })
+	run(func() error { return p.fleet.Run(ctx) })
+	run(func() error { return p.reader.Run(ctx) })
+	run(func() error { return p.relay.Run(ctx) })
+	run(func() error { return p.runChoice(ctx, p.hub) })
 	run(p.operator.Run)
+	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
 	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
 	signals := make(chan os.Signal, 2)
@@ -90,41 +112,35 @@
 		return fmt.Errorf("serve: %w", err)
 	}
 	p.logger = p.root.Part("serve")
+	p.started = time.Now()
 	p.bus = event.NewBus()
 	p.timer = &timer.Service{Bus: p.bus, Resolution: tickResolution, PauseAfter: pauseAfter}
-	p.store = &store.Store{Bus: p.bus, Logger: p.root.Part("store")}
-	p.watcher = &platform.Watcher{
-		Client: &platform.Client{Addresses: s.Platform.Addresses, Timeout: s.Platform.Timeout},
-		Store:  p.store,
-		Logger: p.root.Part("platform"),
-	}
-	p.caller = &caller.Server{
-		Settings: s.Caller,
-		Sizes:    s.Limits,
-		Handler:  &caller.Handler{Store: p.store, Next: p.filters()},
+	p.registry = prometheus.NewRegistry()
+	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.parts = map[string]operator.Dumper{}
+	p.buildFleet()
+	p.buildConfig()
+	p.buildChoice()
+	p.joinFleet()
+	if err := p.buildPath(); err != nil {
+		return err
 	}
 	p.operator = &operator.Server{
 		Settings: s.Operator,
-		Registry: prometheus.NewRegistry(),
+		Registry: p.registry,
 		Ready:    p.ready,
 		SetLevel: p.root.SetLevel,
-		Parts:    map[string]operator.Dumper{},
+		Parts:    p.parts,
 	}
 	return nil
 }
 
-// filters returns the row that every request passes.
-func (p *Process) filters() exchange.Handler {
-	f := &backend.Forwarder{Transport: &http.Transport{DisableCompression: true}}
-	return exchange.Chain(f, route.Filter{}, key.Filter{})
-}
-
 func (p *Process) ready() error {
 	if p.stopping.Load() {
 		return errors.New("a planned stop has begun")
 	}
-	if p.store.Table() == nil {
-		return errors.New("no table is known yet")
+	if !p.settled() {
+		return errors.New("no table that is known to be the newest")
 	}
 	return nil
 }
@@ -134,14 +150,8 @@
 func (p *Process) stop(signals <-chan os.Signal) error {
 	p.stopping.Store(true)
 	_ = p.bus.Publish(event.Stopping{})
-	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", p.Settings.Stop.Wait)
 	done := make(chan error, 1)
-	go func() {
-		time.Sleep(p.Settings.Stop.Wait)
-		ctx, cancel := context.WithTimeout(context.Background(), p.Settings.Stop.Timeout)
-		defer cancel()
-		done <- p.caller.Shutdown(ctx)
-	}()
+	go func() { done <- p.leave() }()
 	select {
 	case err := <-done:
 		return err
