Wire fleet-wide limits into the process

Cause: requests passed without a look at their row. Change: filter/rate takes a token and a unit of the row (429, not-run, Retry-After), refuses a workspace without a row (403) and says 503 while no part of the limit is known; limiter feeds limit.Fleet from the table, the membership, ticks and frames; cold allowance, probe budget and connections come from it too. LoanMax is 8 s, and the membership waits for it.

--- a/internal/limit/home.go
+++ b/internal/limit/home.go
@@ -19,7 +19,7 @@
 		return nil
 	}
 	b.taker.demand.wanted = now
-	g := &peerpb.LimitGrant{Limit: b.id, Number: a.GetNumber()}
+	g := &peerpb.LimitGrant{Limit: b.id, Number: a.GetNumber(), Unready: b.held <= 0}
 	v := min(time.Duration(a.GetValidMs())*time.Millisecond, maxValid)
 	n := b.give(f, now, p, a.GetNumber(), b.offer(int(a.GetWant())), v)
 	g.Tokens = uint32(n)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -20,7 +20,7 @@
 
 // LoanMax is the longest time for which a loan or a token of a rate may be
 // used after the lender's share changed.
-const LoanMax = 12 * time.Second
+const LoanMax = 8 * time.Second
 
 // Kind tells what a limit counts.
 type Kind int
@@ -71,6 +71,9 @@
 type Refused struct {
 	// RetryAfter is when one may be there; 0 when that is not known.
 	RetryAfter time.Duration
+	// Unready says that no VM could be asked that has a part of the limit, so
+	// that nothing is known of the caller's use of it.
+	Unready bool
 }
 
 func (Granted) answer() {}
--- a/internal/limit/renew.go
+++ b/internal/limit/renew.go
@@ -11,7 +11,7 @@
 // Times of renewals.
 const (
 	minPeriod = time.Second
-	maxPeriod = 4 * time.Second
+	maxPeriod = 2500 * time.Millisecond
 	// loanPeriods is the length of a loan in periods.
 	loanPeriods = 3
 	minLoan     = 500 * time.Millisecond
@@ -61,7 +61,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := &b.taker
-	if t.self && !b.kind.always() && b.kind.lendable() && now.Sub(t.demand.lastUse()) < idleAfter {
+	if t.announced {
 		for _, m := range ms {
 			m.Wanted = append(m.Wanted, b.id)
 		}
@@ -100,6 +100,9 @@
 	clear(p.wanted)
 	for _, id := range m.GetWanted() {
 		p.wanted[id] = true
+		if !f.lends(p, id) {
+			p.due = now
+		}
 	}
 	listed := map[uint32]uint32{}
 	for i, id := range m.GetLent() {
@@ -117,6 +120,17 @@
 	p.borrowed = listed
 }
 
+// lends reports whether a part of the own share of a limit is lent to p.
+func (f *Fleet) lends(p *peer, id uint32) bool {
+	b := f.buckets.Load().byID[id]
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.share <= 0 || b.lent.part > 0
+}
+
 // borrow takes in entry i of a renewal.
 func (f *Fleet) borrow(now time.Time, p *peer, m *peerpb.LimitMessage, i int) {
 	id, serial := m.GetLent()[i], m.GetSerial()[i]
--- a/internal/limit/run.go
+++ b/internal/limit/run.go
@@ -26,6 +26,30 @@
 	}
 }
 
+// TryTake takes a token that is at hand. If there is none it asks the home for
+// one, which a later call may find. It is for kinds that come back with time.
+func (f *Fleet) TryTake(now time.Time, k Key) bool {
+	b := f.find(k)
+	if b == nil || b.kind.counted() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.try(f, now)
+}
+
+// Own is how many whole units of a limit that is not lent belong to this VM.
+func (f *Fleet) Own(now time.Time, k Key) int {
+	b := f.find(k)
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	return int(b.share*b.full() + epsilon)
+}
+
 func (f *Fleet) find(k Key) *bucket {
 	n := f.buckets.Load()
 	if n == nil {
@@ -105,6 +129,7 @@
 	b.refill(now)
 	b.taker.demand.step(now)
 	f.giveBack(now, b, out)
+	f.announce(now, b)
 	rs := b.overdue(f, now)
 	t := &b.taker
 	b.trim(now)
@@ -115,6 +140,19 @@
 	return rs
 }
 
+// announce asks for loans at once when a limit that is lent on demand comes into
+// use.
+func (f *Fleet) announce(now time.Time, b *bucket) {
+	t := &b.taker
+	use := t.self && !b.kind.always() && b.kind.lendable() && now.Sub(t.demand.lastUse()) < idleAfter
+	if use && !t.announced {
+		for _, p := range f.peers {
+			p.due = now
+		}
+	}
+	t.announced = use
+}
+
 // Receive takes in a message of another VM. Messages that are repeated or late
 // are dropped.
 func (f *Fleet) Receive(now time.Time, from member.ID, m *peerpb.LimitMessage) {
--- a/internal/limit/taker.go
+++ b/internal/limit/taker.go
@@ -44,8 +44,13 @@
 	after  time.Time
 	shorts int
 	scarce bool
-	trip   time.Duration
-	demand demand
+	// unready says that the last ask found no part of the limit.
+	unready bool
+	trip    time.Duration
+	demand  demand
+	// announced says that the home asked for loans of a limit that is lent on
+	// demand.
+	announced bool
 }
 
 // lot is a number of tokens with one end.
@@ -80,21 +85,44 @@
 	}
 	t.demand.refused = now
 	if t.self || t.home == nil {
-		return Refused{RetryAfter: b.next()}
+		return Refused{RetryAfter: b.next(), Unready: b.held <= 0}
 	}
 	if now.Before(t.after) {
-		return Refused{RetryAfter: t.after.Sub(now)}
+		return Refused{RetryAfter: t.after.Sub(now), Unready: t.unready}
 	}
 	if len(t.waiting) >= maxWaiting {
 		return Refused{RetryAfter: shortStep}
 	}
 	t.waiting = append(t.waiting, waiter{done: done, deadline: deadline})
 	if !t.pending {
-		b.ask(f, now)
+		b.ask(f, now, 0)
 	}
 	return nil
 }
 
+// try takes a token that is at hand. If there is none it asks the home for one
+// that a later try may find.
+func (b *bucket) try(f *Fleet, now time.Time) bool {
+	b.refill(now)
+	t := &b.taker
+	t.demand.taken++
+	t.demand.used = now
+	if b.available() >= 1-epsilon {
+		b.spend(1)
+		return true
+	}
+	if b.useLot(now) {
+		return true
+	}
+	t.demand.refused = now
+	if t.self || t.home == nil || t.pending || now.Before(t.after) {
+		return false
+	}
+	t.trip = max(t.trip, maxValid/validFactor)
+	b.ask(f, now, 1)
+	return false
+}
+
 // occupy notes the deadline of a request that holds a unit.
 func (b *bucket) occupy(deadline time.Time) {
 	if b.kind.counted() && deadline.After(b.runningUntil) {
@@ -151,11 +179,11 @@
 	t.lots = keep(t.lots, func(l lot) bool { return l.tokens > 0 })
 }
 
-// ask sends one ask for all that wait.
-func (b *bucket) ask(f *Fleet, now time.Time) {
+// ask sends one ask for all that wait, and for spare tokens beside.
+func (b *bucket) ask(f *Fleet, now time.Time, spare int) {
 	t := &b.taker
 	t.number++
-	t.pending, t.sent, t.asked = true, now, len(t.waiting)
+	t.pending, t.sent, t.asked = true, now, len(t.waiting)+spare
 	t.valid = min(max(validFactor*t.trip, minValid), maxValid).Truncate(time.Millisecond)
 	if t.trip == 0 {
 		t.valid = maxValid
@@ -175,88 +203,6 @@
 	return &peerpb.LimitAsk{Limit: b.id, Held: uint32(t.reported), Seen: t.seen}
 }
 
-// granted takes a grant in and answers those that wait.
-func (b *bucket) granted(f *Fleet, now time.Time, from *peer, g *peerpb.LimitGrant) []reply {
-	t := &b.taker
-	if !t.pending || t.home != from || g.GetNumber() != t.number {
-		return nil
-	}
-	b.refill(now)
-	t.pending, t.seen = false, g.GetNumber()
-	t.measure(now.Sub(t.sent))
-	got := int(g.GetTokens())
-	b.add(t.sent.Add(f.less(t.valid)), got)
-	b.add(t.sent.Add(f.less(time.Duration(g.GetAheadMs())*time.Millisecond)), int(g.GetAhead()))
-	t.scarce = g.GetAhead() == 0
-	short := got < t.asked
-	b.pace(now, g, short)
-	return b.serve(f, now, short)
-}
-
-// measure takes a round trip into the estimate.
-func (t *taker) measure(d time.Duration) {
-	if t.trip == 0 {
-		t.trip = d
-	}
-	t.trip += (d - t.trip) / 8
-}
-
-// add keeps the lots in the order of their ends.
-func (b *bucket) add(until time.Time, n int) {
-	if n == 0 {
-		return
-	}
-	t := &b.taker
-	i := len(t.lots)
-	for i > 0 && until.Before(t.lots[i-1].until) {
-		i--
-	}
-	t.lots = append(t.lots, lot{})
-	copy(t.lots[i+1:], t.lots[i:])
-	t.lots[i] = lot{tokens: n, until: until}
-}
-
-// pace spaces the asks for a limit that runs short.
-func (b *bucket) pace(now time.Time, g *peerpb.LimitGrant, short bool) {
-	t := &b.taker
-	if !short {
-		t.shorts = max(0, t.shorts-1)
-		return
-	}
-	t.shorts++
-	w := shortStep
-	if !b.kind.counted() && b.spec.Rate > 0 {
-		w = time.Duration(b.spec.Burst / b.spec.Rate / 8 * float64(time.Second))
-	}
-	w = min(w, time.Duration(t.shorts-1)*shortStep, time.Second)
-	t.after = now.Add(max(w, time.Duration(g.GetRetryMs())*time.Millisecond))
-}
-
-// serve answers those that wait as far as there are tokens. The others are
-// refused if the grant was short, else they ask again.
-func (b *bucket) serve(f *Fleet, now time.Time, short bool) []reply {
-	t := &b.taker
-	var rs []reply
-	for len(t.waiting) > 0 {
-		w := t.waiting[0]
-		switch {
-		case !now.Before(w.deadline):
-			rs = append(rs, reply{done: w.done, answer: Refused{}})
-		case b.useLot(now):
-			b.occupy(w.deadline)
-			rs = append(rs, reply{done: w.done, answer: Granted{lot: true}})
-		case short:
-			rs = append(rs, reply{done: w.done, answer: Refused{RetryAfter: t.after.Sub(now)}})
-		default:
-			b.ask(f, now)
-			return rs
-		}
-		t.waiting = t.waiting[1:]
-	}
-	t.waiting = nil
-	return rs
-}
-
 // reply is an answer to give once no lock is held.
 type reply struct {
 	done   func(Answer)
@@ -267,35 +213,48 @@
 // if its deadline allows.
 func (b *bucket) overdue(f *Fleet, now time.Time) []reply {
 	t := &b.taker
+	rs := t.late(now)
 	if !t.pending || now.Sub(t.sent) < t.valid {
-		return nil
+		return rs
 	}
 	t.pending = false
 	t.trip = min(2*t.trip, maxValid)
-	var rs []reply
 	t.waiting = keep(t.waiting, func(w waiter) bool {
 		if !w.again && now.Add(t.valid).Before(w.deadline) {
 			return true
 		}
-		rs = append(rs, reply{done: w.done, answer: Refused{RetryAfter: askPause}})
+		rs = append(rs, reply{done: w.done, answer: Refused{RetryAfter: askPause, Unready: true}})
 		return false
 	})
 	for i := range t.waiting {
 		t.waiting[i].again = true
 	}
 	if len(t.waiting) > 0 && t.home != nil {
-		b.ask(f, now)
+		b.ask(f, now, 0)
 		return rs
 	}
-	t.after = now.Add(askPause)
+	t.after, t.unready = now.Add(askPause), true
 	return append(rs, t.dismiss()...)
 }
 
+// late refuses those whose deadline has passed.
+func (t *taker) late(now time.Time) []reply {
+	var rs []reply
+	t.waiting = keep(t.waiting, func(w waiter) bool {
+		if now.Before(w.deadline) {
+			return true
+		}
+		rs = append(rs, reply{done: w.done, answer: Refused{}})
+		return false
+	})
+	return rs
+}
+
 // dismiss refuses all that wait.
 func (t *taker) dismiss() []reply {
 	var rs []reply
 	for _, w := range t.waiting {
-		rs = append(rs, reply{done: w.done, answer: Refused{RetryAfter: askPause}})
+		rs = append(rs, reply{done: w.done, answer: Refused{RetryAfter: askPause, Unready: true}})
 	}
 	t.waiting, t.pending = nil, false
 	return rs
--- a/lentilbend/internal/serve/fleet.go
+++ b/lentilbend/internal/serve/fleet.go
@@ -51,7 +51,7 @@
 func (p *Process) joinFleet() {
 	p.hub.Answer = p.relay.Answer
 	news := &loadNews{services: p.services, peers: p.hub}
-	p.hub.Handlers = []peer.Handler{p.fleet, p.relay, news}
+	p.hub.Handlers = []peer.Handler{p.fleet, p.limits, p.relay, news}
 	p.reader.OnList = p.onList
 }
 
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -15,13 +14,9 @@
 	"lentilbend.example/lentilbend/internal/pool"
 )
 
-// connectionsAtMost bounds the connections to one backend server until its
-// fleet-wide limit is known here.
-const connectionsAtMost = 200
-
 // buildPath makes the parts between callers and backend servers.
 func (p *Process) buildPath() error {
-	p.pools = pool.New(func(netip.AddrPort) int { return connectionsAtMost })
+	p.pools = pool.New(p.limits.Connections)
 	p.registry.MustRegister(&pool.Collector{Set: p.pools})
 	p.forwarder = &backend.Forwarder{
 		Pools:     p.pools,
@@ -46,7 +41,7 @@
 
 // filters returns the row that every request passes.
 func (p *Process) filters() exchange.Handler {
-	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.share)
+	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.rate, p.share)
 }
 
 // leave ends the callers' connections without cutting a request: a wait in
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -22,8 +22,10 @@
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
 	"lentilbend.example/lentilbend/internal/chooser"
+	"lentilbend.example/lentilbend/internal/filter/rate"
 	"lentilbend.example/lentilbend/internal/filter/share"
 	"lentilbend.example/lentilbend/internal/fleet"
+	"lentilbend.example/lentilbend/internal/limiter"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/peer"
@@ -65,6 +67,8 @@
 
 	services    *chooser.Services
 	share       *share.Filter
+	limits      *limiter.Limiter
+	rate        *rate.Filter
 	started     time.Time
 	settledOnce atomic.Bool
 }
@@ -91,6 +95,7 @@
 	run(func() error { return p.reader.Run(ctx) })
 	run(func() error { return p.relay.Run(ctx) })
 	run(func() error { return p.runChoice(ctx, p.hub) })
+	run(func() error { return p.limits.Run(ctx) })
 	run(p.operator.Run)
 	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
@@ -121,6 +126,7 @@
 	p.buildFleet()
 	p.buildConfig()
 	p.buildChoice()
+	p.buildLimits()
 	p.joinFleet()
 	if err := p.buildPath(); err != nil {
 		return err
