--- a/internal/limit/dump.go
+++ b/internal/limit/dump.go
@@ -50,7 +50,7 @@
 
 // Names of the kinds in dumps and metrics.
 var kindNames = map[Kind]string{
-	Rate: "Rate", Running: "Running", Probe: "Probe", Cold: "Cold", Connections: "Connections",
+	Rate: "Rate", Running: "Running", Probe: "Probe", Cold: "Cold",
 }
 
 // String returns the name of the kind.
--- a/internal/limit/lender.go
+++ b/internal/limit/lender.go
@@ -31,7 +31,7 @@
 // wish is how many pieces of the own share should be lent to the home.
 func (b *bucket) wish(now time.Time) int {
 	t := &b.taker
-	if t.self || t.home == nil || !b.kind.lendable() {
+	if t.self || t.home == nil {
 		return 0
 	}
 	if !b.kind.always() && now.Sub(t.demand.lastUse()) > idleAfter {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,5 +1,5 @@
 // Package limit keeps limits that hold over all entry VMs together: rates with
-// a burst, and numbers of requests or connections at once.
+// a burst, and numbers of requests at once.
 //
 // Each VM owns a share of every limit. It uses the share itself, or lends it to
 // the limit's home, a VM chosen by rendezvous hashing, which gives tokens to
@@ -25,14 +25,13 @@
 // Kind tells what a limit counts.
 type Kind int
 
-// Kinds of limits. Rate, Probe and Cold count tokens that come back with time;
-// Running and Connections count units that are returned.
+// Kinds of limits. Rate, Probe and Cold count tokens that come back with time,
+// Running counts units that are returned.
 const (
 	Rate Kind = iota + 1
 	Running
 	Probe
 	Cold
-	Connections
 )
 
 // Key names a limit.
@@ -81,13 +80,7 @@
 
 // counted reports whether units of the kind are returned.
 func (k Kind) counted() bool {
-	return k == Running || k == Connections
-}
-
-// lendable reports whether shares of the kind may be lent. A connection has no
-// deadline after which its unit is known to be free.
-func (k Kind) lendable() bool {
-	return k != Connections
+	return k == Running
 }
 
 // always reports whether shares of the kind are lent without demand, so that
--- a/internal/limit/run.go
+++ b/internal/limit/run.go
@@ -38,18 +38,6 @@
 	return b.try(f, now)
 }
 
-// Own is how many whole units of a limit that is not lent belong to this VM.
-func (f *Fleet) Own(now time.Time, k Key) int {
-	b := f.find(k)
-	if b == nil {
-		return 0
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	return int(b.share*b.full() + epsilon)
-}
-
 func (f *Fleet) find(k Key) *bucket {
 	n := f.buckets.Load()
 	if n == nil {
@@ -144,7 +132,7 @@
 // use.
 func (f *Fleet) announce(now time.Time, b *bucket) {
 	t := &b.taker
-	use := t.self && !b.kind.always() && b.kind.lendable() && now.Sub(t.demand.lastUse()) < idleAfter
+	use := t.self && !b.kind.always() && now.Sub(t.demand.lastUse()) < idleAfter
 	if use && !t.announced {
 		for _, p := range f.peers {
 			p.due = now
--- a/lentilbend/internal/limiter/specs.go
+++ b/lentilbend/internal/limiter/specs.go
@@ -33,9 +33,7 @@
 		ss = append(ss, limit.Spec{Key: probeKey(s.Name), Rate: s.ProbeRate, Burst: probeBurst})
 	}
 	for _, v := range s.Servers {
-		ss = append(ss,
-			limit.Spec{Key: coldKey(s.Name, v.Address), Rate: s.ColdRate, Burst: max(1, s.ColdBurst)},
-			limit.Spec{Key: connectionsKey(v.Address), Units: s.Connections})
+		ss = append(ss, limit.Spec{Key: coldKey(s.Name, v.Address), Rate: s.ColdRate, Burst: max(1, s.ColdBurst)})
 	}
 	return ss
 }
@@ -69,18 +67,6 @@
 	return limit.Key{Kind: limit.Cold, Service: service, Server: server}
 }
 
-func connectionsKey(server netip.AddrPort) limit.Key {
-	return limit.Key{Kind: limit.Connections, Server: server}
-}
-
-// Connections is how many connections this VM may have to a backend server.
-// One is always allowed, so that a VM without a share can serve.
-func (l *Limiter) Connections(server netip.AddrPort) int {
-	now := time.Now()
-	l.watch(now)
-	return max(1, l.fleet.Own(now, connectionsKey(server)))
-}
-
 // Cold returns the allowance of a service's backend servers in cold start.
 func (l *Limiter) Cold(service string) choice.Allowance {
 	return allowance{limiter: l, key: func(a netip.AddrPort) limit.Key { return coldKey(service, a) }}
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -16,7 +16,11 @@
 
 // buildPath makes the parts between callers and backend servers.
 func (p *Process) buildPath() error {
-	p.pools = pool.New(p.limits.Connections)
+	c := &connections{
+		Table: p.table,
+		VMs:   func(now time.Time) int { return p.fleet.Share(now).Count },
+	}
+	p.pools = pool.New(c.allowance)
 	p.registry.MustRegister(&pool.Collector{Set: p.pools})
 	p.forwarder = &backend.Forwarder{
 		Pools:     p.pools,
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -69,6 +69,7 @@
 	share       *share.Filter
 	limits      *limiter.Limiter
 	rate        *rate.Filter
+	news        chan struct{}
 	started     time.Time
 	settledOnce atomic.Bool
 }
