--- a/internal/limit/schedule_test.go
+++ b/internal/limit/schedule_test.go
@@ -69,7 +69,7 @@
 		s.checkers[p.Key] = &virtual.Checker{Rate: p.Rate, Burst: p.Burst, Units: p.Units}
 	}
 	for range rapid.IntRange(2, 5).Draw(t, "vms") {
-		s.world.Start(s.address(), true)
+		s.world.Start(s.address(), "", true)
 	}
 	return s
 }
@@ -129,10 +129,10 @@
 	switch n {
 	case 0:
 		w.Crash(v)
-		w.At(w.Now()+long/4, func() { w.Start(s.address(), false) })
+		w.At(w.Now()+long/4, func() { w.Start(s.address(), "", false) })
 	case 1:
 		w.Crash(v)
-		w.Start(v.ID.Address, false)
+		w.Start(v.ID.Address, "", false)
 	case 2:
 		w.Freeze(v, long, s.random.Intn(2) == 0)
 	case 3:
@@ -143,10 +143,9 @@
 		w.Cut(func(a, b *virtual.VM) bool { return a == v })
 		w.At(w.Now()+long, func() { w.Cut(nil) })
 	case 5:
-		w.Start(s.address(), false)
+		w.Start(s.address(), "", false)
 	case 6:
-		v.Leaving = true
-		v.Fleet.Leave(v.Now())
+		w.Leave(v)
 		w.At(w.Now()+long/2, func() { w.Crash(v) })
 	}
 }
--- a/internal/limit/virtual/members.go
+++ b/internal/limit/virtual/members.go
@@ -176,4 +176,7 @@
 // pause ends the promises of a VM that did not run.
 func (v *VM) pause() {
 	v.untilV = time.Time{}
+	if v.node != nil {
+		v.node.Pause(v.Now())
+	}
 }
--- a/internal/limit/virtual/world.go
+++ b/internal/limit/virtual/world.go
@@ -51,9 +51,14 @@
 	Specs   []limit.Spec
 	// Longest is the longest time that a unit is held.
 	Longest time.Duration
-	// Sent counts messages and their bytes.
-	Messages int
-	Bytes    int
+	// Platform is the list that the product's membership reads; nil stands for
+	// the fake membership.
+	Platform *Platform
+	// Messages and MemberMessages count messages and their bytes.
+	Messages       int
+	Bytes          int
+	MemberMessages int
+	MemberBytes    int
 
 	VMs []*VM
 
@@ -66,8 +71,9 @@
 
 // VM is one process on an entry VM.
 type VM struct {
-	ID    member.ID
-	Fleet *limit.Fleet
+	ID         member.ID
+	DataCentre string
+	Fleet      *limit.Fleet
 	// Alive is false after a crash, Frozen while the VM does not run.
 	Alive  bool
 	Frozen bool
@@ -85,6 +91,9 @@
 	mail   []func()
 	counts map[member.ID]bool
 	promise
+
+	node    *member.Node
+	greeted map[member.ID]bool
 }
 
 // Now returns virtual time since the start.
@@ -110,16 +119,17 @@
 
 // Start starts a process at an address and returns it. It is a newcomer if old
 // is false.
-func (w *World) Start(a netip.AddrPort, old bool) *VM {
+func (w *World) Start(a netip.AddrPort, centre string, old bool) *VM {
 	w.serial++
 	v := &VM{
-		ID:     member.ID{Address: a, Incarnation: w.serial},
-		Alive:  true,
-		world:  w,
-		rate:   1 + w.Drift*(2*w.Random.Float64()-1),
-		base:   start.Add(time.Duration(w.Random.Int63n(int64(time.Hour)))),
-		since:  w.now,
-		counts: map[member.ID]bool{},
+		ID:         member.ID{Address: a, Incarnation: w.serial},
+		Alive:      true,
+		DataCentre: centre,
+		world:      w,
+		rate:       1 + w.Drift*(2*w.Random.Float64()-1),
+		base:       start.Add(time.Duration(w.Random.Int63n(int64(time.Hour)))),
+		since:      w.now,
+		counts:     map[member.ID]bool{},
 	}
 	v.Fleet = &limit.Fleet{
 		Self:   v.ID,
@@ -129,11 +139,17 @@
 		Send:   func(s limit.Send) { w.send(v, s) },
 	}
 	w.VMs = append(w.VMs, v)
-	w.join(v, old)
+	if w.Platform != nil {
+		w.real(v, old)
+	} else {
+		w.join(v, old)
+	}
 	v.Fleet.Set(v.Now(), w.Specs)
 	first := time.Duration(w.Random.Int63n(int64(tick)))
 	w.At(w.now+first, func() { w.tick(v) })
-	w.At(w.now+first, func() { w.view(v) })
+	if w.Platform == nil {
+		w.At(w.now+first, func() { w.view(v) })
+	}
 	return v
 }
 
@@ -158,6 +174,9 @@
 		return
 	}
 	if !v.Frozen {
+		if v.node != nil {
+			w.step(v)
+		}
 		v.Fleet.Tick(v.Now())
 	}
 	w.At(w.now+tick, func() { w.tick(v) })
@@ -167,6 +186,9 @@
 func (w *World) Crash(v *VM) {
 	v.Alive = false
 	v.mail = nil
+	if w.Platform != nil {
+		w.unlist(v)
+	}
 }
 
 // Freeze stops a VM; its clock stops too if clock is set.
@@ -237,14 +259,7 @@
 }
 
 func (w *World) deliver(from, to *VM, b []byte) {
-	d := w.Delay
-	if w.Spread > 0 {
-		d += time.Duration(w.Random.Int63n(int64(w.Spread)))
-	}
-	if w.Random.Float64() < w.Late {
-		d += time.Duration(w.Random.Int63n(int64(w.LateMax)))
-	}
-	w.At(w.now+d, func() {
+	w.At(w.now+w.delay(), func() {
 		to.Do(func() {
 			m := &peerpb.LimitMessage{}
 			if proto.Unmarshal(b, m) == nil {
@@ -254,6 +269,18 @@
 	})
 }
 
+// delay draws how long a message takes.
+func (w *World) delay() time.Duration {
+	d := w.Delay
+	if w.Spread > 0 {
+		d += time.Duration(w.Random.Int63n(int64(w.Spread)))
+	}
+	if w.Random.Float64() < w.Late {
+		d += time.Duration(w.Random.Int63n(int64(w.LateMax)))
+	}
+	return d
+}
+
 // find returns the process that runs at an address.
 func (w *World) find(a netip.AddrPort) *VM {
 	for _, v := range w.VMs {
