--- a/internal/member/model_test.go
+++ b/internal/member/model_test.go
@@ -65,7 +65,7 @@
 // version is one state of the platform's list.
 type version struct {
 	at  time.Duration
-	vms []member.Vm
+	vms []member.VM
 }
 
 // world holds VMs, network and platform in virtual time.
@@ -185,10 +185,10 @@
 	x := version{at: w.now}
 	for a := range w.listed {
 		if !w.hidden[a] {
-			x.vms = append(x.vms, member.Vm{Address: a})
+			x.vms = append(x.vms, member.VM{Address: a})
 		}
 	}
-	slices.SortFunc(x.vms, func(a, b member.Vm) int { return a.Address.Compare(b.Address) })
+	slices.SortFunc(x.vms, func(a, b member.VM) int { return a.Address.Compare(b.Address) })
 	w.versions = append(w.versions, x)
 }
 
@@ -406,7 +406,7 @@
 			continue
 		}
 		any = true
-		shown = shown || slices.ContainsFunc(x.vms, func(l member.Vm) bool { return l.Address == v.id.Address })
+		shown = shown || slices.ContainsFunc(x.vms, func(l member.VM) bool { return l.Address == v.id.Address })
 	}
 	return shown || !any
 }
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -22,14 +21,14 @@
 
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
-	"lentilbend.example/lentilbend/internal/exchange"
-	"lentilbend.example/lentilbend/internal/filter/key"
-	"lentilbend.example/lentilbend/internal/filter/route"
+	"lentilbend.example/lentilbend/internal/chooser"
+	"lentilbend.example/lentilbend/internal/filter/share"
 	"lentilbend.example/lentilbend/internal/fleet"
 	"lentilbend.example/lentilbend/internal/logging"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/peer"
 	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/pool"
 	"lentilbend.example/lentilbend/internal/relay"
 	"lentilbend.example/lentilbend/internal/settings"
 	"lentilbend.example/lentilbend/internal/store"
@@ -58,9 +57,15 @@
 	caller   *caller.Server
 	operator *operator.Server
 	registry *prometheus.Registry
-	parts    map[string]operator.Dumper
-	stopping atomic.Bool
+	// pools and forwarder lead to the backend servers.
+	pools     *pool.Set
+	forwarder *backend.Forwarder
+	parts     map[string]operator.Dumper
+	stopping  atomic.Bool
 
+	services    *chooser.Services
+	share       *share.Filter
+	news        chan struct{}
 	started     time.Time
 	settledOnce atomic.Bool
 }
@@ -86,7 +91,9 @@
 	run(func() error { return p.fleet.Run(ctx) })
 	run(func() error { return p.reader.Run(ctx) })
 	run(func() error { return p.relay.Run(ctx) })
+	run(func() error { return p.runChoice(ctx, p.hub) })
 	run(p.operator.Run)
+	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
 	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
 	signals := make(chan os.Signal, 2)
@@ -114,11 +121,10 @@
 	p.parts = map[string]operator.Dumper{}
 	p.buildFleet()
 	p.buildConfig()
+	p.buildChoice()
 	p.joinFleet()
-	p.caller = &caller.Server{
-		Settings: s.Caller,
-		Sizes:    s.Limits,
-		Handler:  &caller.Handler{Table: p.table, Next: p.filters()},
+	if err := p.buildPath(); err != nil {
+		return err
 	}
 	p.operator = &operator.Server{
 		Settings: s.Operator,
@@ -130,12 +136,6 @@
 	return nil
 }
 
-// filters returns the row that every request passes.
-func (p *Process) filters() exchange.Handler {
-	f := &backend.Forwarder{Transport: &http.Transport{DisableCompression: true}}
-	return exchange.Chain(f, route.Filter{}, key.Filter{})
-}
-
 func (p *Process) ready() error {
 	if p.stopping.Load() {
 		return errors.New("a planned stop has begun")
@@ -151,14 +151,8 @@
 func (p *Process) stop(signals <-chan os.Signal) error {
 	p.stopping.Store(true)
 	_ = p.bus.Publish(event.Stopping{})
-	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", p.Settings.Stop.Wait)
 	done := make(chan error, 1)
-	go func() {
-		time.Sleep(p.Settings.Stop.Wait)
-		ctx, cancel := context.WithTimeout(context.Background(), p.Settings.Stop.Timeout)
-		defer cancel()
-		done <- p.caller.Shutdown(ctx)
-	}()
+	go func() { done <- p.leave() }()
 	select {
 	case err := <-done:
 		return err
