--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -239,6 +239,9 @@
 	if !n.leaving {
 		n.leaving = true
 		n.released = now
+		for _, p := range n.order {
+			p.next = now
+		}
 	}
 	n.settle(now)
 	return n.due(now)
--- /dev/null
+++ b/lentilbend/internal/fleet/fleet_test.go
@@ -0,0 +1,107 @@
+package fleet_test
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/internal/event"
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/peerpb"
+
+	"lentilbend.example/lentilbend/internal/fleet"
+)
+
+// transport records what is sent.
+type transport struct {
+	mu   sync.Mutex
+	to   []netip.AddrPort
+	sent []*peerpb.MemberMessage
+}
+
+func (t *transport) Peers(_ time.Time, to []netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.to = to
+}
+
+func (t *transport) Send(_ netip.AddrPort, f *peerpb.Frame) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent = append(t.sent, f.GetMember()...)
+	return true
+}
+
+func (t *transport) messages() []*peerpb.MemberMessage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.sent)
+}
+
+var (
+	self  = member.ID{Address: netip.MustParseAddrPort("10.0.0.1:1"), Incarnation: 5}
+	other = member.ID{Address: netip.MustParseAddrPort("10.0.0.2:1"), Incarnation: 6}
+)
+
+func newFleet() (*fleet.Fleet, *transport) {
+	t := &transport{}
+	f := &fleet.Fleet{
+		Node: &member.Node{
+			Self: self, Promise: member.DefaultPromise, ListAge: member.DefaultListAge, LoanMax: member.DefaultLoanMax,
+			RunningMax: member.DefaultRunningMax, Outage: member.DefaultOutage, Drift: member.DefaultDrift,
+		},
+		Transport: t, Bus: event.NewBus(), Logger: log.NewNopLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() {
+		defer GinkgoRecover()
+		Expect(f.Run(ctx)).To(Succeed())
+	}()
+	return f, t
+}
+
+var _ = Describe("Fleet", func() {
+	It("stays connected to listed VMs and lets only them talk", func() {
+		f, t := newFleet()
+		f.List(time.Now(), 1, []member.VM{{Address: self.Address}, {Address: other.Address}})
+		Expect(t.to).To(Equal([]netip.AddrPort{other.Address}))
+		Expect(f.Allowed(other.Address.Addr())).To(BeTrue())
+		Expect(f.Allowed(netip.MustParseAddr("10.0.0.3"))).To(BeFalse())
+	})
+
+	It("counts a VM that asks, and answers it", func() {
+		f, t := newFleet()
+		m := &peerpb.MemberMessage{Request: 3}
+		f.Handle(time.Now(), other, &peerpb.Frame{Member: []*peerpb.MemberMessage{m}})
+		Expect(f.Share(time.Now()).Count).To(Equal(2))
+		Expect(t.messages()).To(ContainElement(HaveField("Grant", uint64(3))))
+	})
+
+	It("uses nothing when the wall clock shows that the VM was suspended", func() {
+		f, _ := newFleet()
+		now := time.Now()
+		m := &peerpb.MemberMessage{Request: 3}
+		f.Handle(now, other, &peerpb.Frame{Member: []*peerpb.MemberMessage{m}})
+		before := f.Dump().(member.Dump)
+		Expect(before.Peers).To(HaveLen(1))
+		// Round drops the monotonic reading, as if only it had stood still.
+		Expect(f.Share(now.Add(time.Minute).Round(0)).Usable).To(BeFalse())
+	})
+
+	It("releases the share when a planned stop begins", func() {
+		f, t := newFleet()
+		f.List(time.Now(), 1, []member.VM{{Address: self.Address}, {Address: other.Address}})
+		Eventually(func() []*peerpb.MemberMessage {
+			_ = f.Bus.Publish(event.Stopping{})
+			return t.messages()
+		}).Should(ContainElement(HaveField("Release", true)))
+		Expect(f.Share(time.Now()).Usable).To(BeFalse())
+	})
+})
--- a/lentilbend/internal/peer/hub_test.go
+++ b/lentilbend/internal/peer/hub_test.go
@@ -19,6 +19,16 @@
 	"lentilbend.example/lentilbend/internal/settings"
 )
 
+// stuck is a handler that takes no messages until it is released.
+type stuck chan struct{}
+
+// Handle waits.
+func (s stuck) Handle(_ time.Time, _ member.ID, f *peerpb.Frame) {
+	if f.GetHello() == nil {
+		<-s
+	}
+}
+
 // patience bounds waits for what must come; no test measures it.
 const patience = 30 * time.Second
 
@@ -252,16 +262,17 @@
 		Expect(b.met()).To(BeEmpty())
 	})
 
-	It("does not block or grow when a peer takes nothing", func() {
+	It("gives up messages when a peer takes none, and does not block", func() {
 		l, h := pair()
-		a, b := start(l, 1, func(h *peer.Hub) { h.Times.Silent = time.Hour }), start(h, 2)
+		patient := func(h *peer.Hub) { h.Times.Silent = time.Hour }
+		a := start(l, 1, patient)
+		release := make(chan struct{})
+		b := start(h, 2, patient, func(h *peer.Hub) { h.Handlers = []peer.Handler{stuck(release)} })
 		connect(a, b)
-		a.holes.lose(false, true)
-		full := false
-		for i := 0; i < 1<<22 && !full; i++ {
-			full = !a.send(h, uint64(i))
-		}
+		f := &peerpb.Frame{Member: []*peerpb.MemberMessage{{View: []*peerpb.MemberEntry{{Address: make([]byte, 4096)}}}}}
+		Eventually(func() bool { return a.hub.Send(h, f) }, patience, time.Microsecond).Should(BeFalse())
 		Expect(a.hub.Connected()).NotTo(BeEmpty())
+		close(release)
 	})
 
 	It("answers pulls", func() {
