--- a/standin/internal/cli/bench.go
+++ b/standin/internal/cli/bench.go
@@ -20,12 +20,16 @@
 	name := ""
 	c := flaggy.NewSubcommand("measure")
 	c.Description = "run a measurement and print one TOML document: " + strings.Join(measure.Names(), ", ")
-	c.AddPositionalValue(&name, "NAME", 1, true, "measurement")
+	c.AddPositionalValue(&name, "NAME", 1, true, "measurement, or list for the names of all")
 	c.UInt64(&o.Seed, "s", "seed", "seed of arrivals and faults")
 	c.Int(&o.Seconds, "t", "seconds", "about how long to run")
 	c.String(&o.Plot, "p", "plot", "SVG or PNG file to draw")
 	c.String(&o.Bin, "b", "bin", "folder with the programs; that of this one if empty")
 	return command{sub: c, run: func(out io.Writer) error {
+		if name == "list" {
+			_, err := fmt.Fprintln(out, strings.Join(measure.Names(), "\n"))
+			return err
+		}
 		m, ok := measure.Find(name)
 		if !ok {
 			return fmt.Errorf("cli: no measurement %q, there are: %s", name, strings.Join(measure.Names(), ", "))
--- a/standin/internal/scenario/fault.go
+++ b/standin/internal/scenario/fault.go
@@ -45,7 +45,7 @@
 // setBackend changes how backend servers behave: backend WHICH MODE....
 func setBackend(s *state, args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("usage: backend WHICH MODE...")
+		return fmt.Errorf("usage: backend WHICH MODE")
 	}
 	bs, err := s.backends(args[0])
 	if err != nil {
@@ -95,7 +95,7 @@
 		return errNoFleet
 	}
 	if len(args) == 0 {
-		return fmt.Errorf("usage: platform [ENTRY-VM] MODE...")
+		return fmt.Errorf("usage: platform [ENTRY-VM] MODE")
 	}
 	n, err := strconv.Atoi(args[0])
 	if err != nil {
