Be ready only with a share of the fleet-wide limits

Cause: a starting fleet was ready before any VM could grant a token, so the first requests got 503. Change: readiness waits for the first usable share, at most 20 s.

--- a/lentilbend/internal/fleet/fleet.go
+++ b/lentilbend/internal/fleet/fleet.go
@@ -83,8 +83,8 @@
 		return
 	}
 	f.seeded = now
-	if f.Seeds != nil {
-		f.do(now, func(now time.Time) []member.Send { return f.Node.Seed(now, f.Seeds()) })
+	if as := f.seeds(); len(as) > 0 {
+		f.do(now, func(now time.Time) []member.Send { return f.Node.Seed(now, as) })
 	}
 }
 
@@ -146,7 +146,7 @@
 	for _, a := range f.Node.Addresses() {
 		s.allowed[a.Addr().Unmap()] = true
 	}
-	for _, a := range f.Seeds() {
+	for _, a := range f.seeds() {
 		s.allowed[a.Addr().Unmap()] = true
 	}
 	if o := f.state.Swap(s); o != nil {
@@ -154,6 +154,13 @@
 	}
 }
 
+func (f *Fleet) seeds() []netip.AddrPort {
+	if f.Seeds == nil {
+		return nil
+	}
+	return f.Seeds()
+}
+
 func (f *Fleet) report(o, s member.Share) {
 	if o.Usable && !s.Usable {
 		f.losses.Add(1)
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -72,6 +72,7 @@
 	news        chan struct{}
 	started     time.Time
 	settledOnce atomic.Bool
+	stoodOnce   atomic.Bool
 }
 
 // Run serves until SIGTERM or SIGINT and a planned stop, or until a part
@@ -149,6 +150,9 @@
 	if !p.settled() {
 		return errors.New("no table that is known to be the newest")
 	}
+	if !p.standing() {
+		return errors.New("no share of the fleet-wide limits yet")
+	}
 	return nil
 }
 
--- a/lentilbend/internal/serve/settle.go
+++ b/lentilbend/internal/serve/settle.go
@@ -30,6 +30,24 @@
 	return true
 }
 
+// standTimeout is how long a starting VM waits for a share of the limits
+// before it is ready without one.
+const standTimeout = 20 * time.Second
+
+// standing tells whether this VM has had a share of the limits, so that it can
+// grant what comes. Requests that come before live on tokens of other VMs.
+func (p *Process) standing() bool {
+	if p.stoodOnce.Load() {
+		return true
+	}
+	now := time.Now()
+	if !p.fleet.Share(now).Usable && now.Sub(p.started) < standTimeout {
+		return false
+	}
+	p.stoodOnce.Store(true)
+	return true
+}
+
 // table returns the table to serve from, or nil while there is none.
 func (p *Process) table() *table.Table {
 	if !p.settled() {
