--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -45,7 +45,7 @@
 
 // filters returns the row that every request passes.
 func (p *Process) filters() exchange.Handler {
-	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.share)
+	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.rate, p.share)
 }
 
 // leave ends the callers' connections without cutting a request: a wait in
