--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -24,8 +25,11 @@
 // Times of a fleet.
 const (
 	startTimeout = 30 * time.Second
-	endTimeout   = 30 * time.Second
-	pollInterval = 20 * time.Millisecond
+	// servingTimeout holds the time that limits may need after the start of a
+	// whole fleet.
+	servingTimeout = 2 * time.Minute
+	endTimeout     = 30 * time.Second
+	pollInterval   = 20 * time.Millisecond
 )
 
 // Fleet is a deployment on loopback addresses of its own. Set the exported
@@ -62,7 +66,7 @@
 }
 
 // Start starts the stand-ins and the entry VMs, and waits until all of these
-// are ready. Close must be called whatever the result.
+// are ready and serve. Close must be called whatever the result.
 func (f *Fleet) Start(ctx context.Context) error {
 	if err := f.prepare(); err != nil {
 		return err
@@ -78,7 +82,10 @@
 			return err
 		}
 	}
-	return f.WaitReady(ctx)
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
+	return f.WaitServing(ctx)
 }
 
 func (f *Fleet) prepare() error {
@@ -167,6 +174,26 @@
 	return nil
 }
 
+// WaitServing waits until each entry VM that runs now serves a call.
+func (f *Fleet) WaitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, servingTimeout)
+	defer cancel()
+	k, w := f.Deployment.Kinds()[0], f.Deployment.Workspaces[0]
+	for _, e := range f.running() {
+		for {
+			c, err := e.Call(ctx, k.Method, k.Path, w.Key)
+			if err == nil && c == http.StatusOK {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("fleet: entry VM %d does not serve: status %d: %s", e.Index, c, e.LastLog())
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) running() []*Entry {
 	var es []*Entry
 	for _, e := range f.Entries {
--- a/standin/internal/fleet/operate.go
+++ b/standin/internal/fleet/operate.go
@@ -21,6 +21,22 @@
 	return err == nil
 }
 
+// Call sends a call with a key, if one is given, and returns the status.
+func (e *Entry) Call(ctx context.Context, method, path, key string) (int, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.Caller.String()+path, nil)
+	if err != nil {
+		return 0, fmt.Errorf("fleet: %w", err)
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	a, err := e.client.Do(r)
+	if err != nil {
+		return 0, fmt.Errorf("fleet: %w", err)
+	}
+	return a.StatusCode, a.Body.Close()
+}
+
 func (e *Entry) get(ctx context.Context, path string) ([]byte, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Operator.String()+path, nil)
 	if err != nil {
--- a/standin/internal/history/history.go
+++ b/standin/internal/history/history.go
@@ -48,6 +48,8 @@
 	Status int
 	// NotRun says that the refusal claims that nothing ran.
 	NotRun bool
+	// Reason is the refusal's text for people.
+	Reason string
 }
 
 // Cut is an answer that visibly broke off.
--- a/standin/internal/load/call.go
+++ b/standin/internal/load/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -119,11 +120,22 @@
 		return history.Cut{}
 	}
 	if v := s.Header.Get(runHeader); v != "" {
-		return history.Refused{Status: s.StatusCode, NotRun: v == notRun}
+		return history.Refused{Status: s.StatusCode, NotRun: v == notRun, Reason: reason(b)}
 	}
 	return answered(s.StatusCode, string(b), size)
 }
 
+// reason returns the detail of a problem document.
+func reason(b []byte) string {
+	p := struct {
+		Detail string `json:"detail"`
+	}{}
+	if json.Unmarshal(b, &p) != nil {
+		return ""
+	}
+	return p.Detail
+}
+
 // answered reads an answer as backend.Body writes it.
 func answered(status int, b string, size int) history.Answered {
 	a := history.Answered{Status: status}
--- a/standin/internal/load/result.go
+++ b/standin/internal/load/result.go
@@ -30,6 +30,8 @@
 	Total      Line
 	Kinds      []Line
 	Workspaces []Line
+	// Refusals are the reasons of refusals, the most frequent first.
+	Refusals []Refusal `toml:",omitempty"`
 
 	// Cells holds counts of each kind and workspace by time window.
 	Cells []Cell `toml:"-"`
@@ -39,6 +41,13 @@
 	Start time.Time `toml:"-"`
 }
 
+// Refusal counts refusals with one status and reason.
+type Refusal struct {
+	Status int
+	Reason string
+	Calls  int
+}
+
 // Line sums up calls.
 type Line struct {
 	Name   string `toml:",omitempty"`
@@ -86,6 +95,7 @@
 	workspaces map[string]*Line
 	cells      map[[2]string]*Cell
 	windows    []*hdrhistogram.Histogram
+	refusals   map[history.Refused]int
 }
 
 func newCollector(start time.Time, ks []Kind, ws []Workspace) *collector {
@@ -95,6 +105,7 @@
 		kinds:      map[string]*Line{},
 		workspaces: map[string]*Line{},
 		cells:      map[[2]string]*Cell{},
+		refusals:   map[history.Refused]int{},
 	}
 	for _, k := range ks {
 		c.kinds[k.Name] = newLine(k.Name)
@@ -121,6 +132,9 @@
 	for _, n := range []*Line{c.total, c.kinds[a.kind.Name], c.workspaces[a.workspace.Name]} {
 		n.add(e, l)
 	}
+	if o, ok := e.Outcome.(history.Refused); ok {
+		c.refusals[o]++
+	}
 	w := int(a.due.Sub(c.start) / Window)
 	k := [2]string{a.kind.Name, a.workspace.Name}
 	if c.cells[k] == nil {
@@ -188,6 +202,10 @@
 	for _, e := range c.cells {
 		r.Cells = append(r.Cells, *e)
 	}
+	for o, n := range c.refusals {
+		r.Refusals = append(r.Refusals, Refusal{Status: o.Status, Reason: o.Reason, Calls: n})
+	}
+	slices.SortFunc(r.Refusals, func(a, b Refusal) int { return b.Calls - a.Calls })
 	slices.SortFunc(r.Cells, func(a, b Cell) int {
 		return strings.Compare(a.Kind+"\n"+a.Workspace, b.Kind+"\n"+b.Workspace)
 	})
