Test slow bodies, unread answers, TLS and the process's stop

A streamed request whose body was partly read could be abandoned as silent although it cannot be sent again; only requests that can be are abandoned now. Trailers that an answer did not announce are passed on.

--- a/lentilbend/internal/backend/answer.go
+++ b/lentilbend/internal/backend/answer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 
 	"lentilbend.example/internal/choice"
 )
@@ -106,6 +107,9 @@
 func (w *work) passTrailer(a *http.Response) {
 	h := w.exchange.Writer.Header()
 	for n, vs := range a.Trailer {
+		if !slices.Contains(h["Trailer"], n) {
+			n = http.TrailerPrefix + n
+		}
 		if len(vs) > 0 {
 			h[n] = vs
 		}
--- a/lentilbend/internal/backend/answer_test.go
+++ b/lentilbend/internal/backend/answer_test.go
@@ -65,7 +65,7 @@
 
 	It("passes early hints and trailers on", func() {
 		e := newEntry(newServer(says("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
-			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\n\r\n")).address())
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\nX-More: 8\r\n\r\n")).address())
 		var hints []string
 		r, err := http.NewRequest("GET", e.URL+"/read/1", nil)
 		Expect(err).NotTo(HaveOccurred())
@@ -83,6 +83,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(b)).To(Equal("ok"))
 		Expect(a.Trailer.Get("X-Sum")).To(Equal("7"))
+		Expect(a.Trailer.Get("X-More")).To(Equal("8"))
 		Expect(hints).To(Equal([]string{"103</a>"}))
 		Expect(a.Header).NotTo(HaveKey("Link"))
 	})
@@ -104,6 +105,19 @@
 		Expect(b.ReadString('\n')).To(Equal("two\n"))
 	})
 
+	It("leaves a caller that does not read its answer", func() {
+		big := strings.Repeat("x", 64<<20)
+		s := newServer(saysAndCloses("HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n" + big))
+		e := newEntry(s.address())
+		a, err := e.try("GET", "/read/1", "", exchange.TimeoutHeader, "200ms")
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		Eventually(s.ended, "5s").Should(Receive())
+		n, err := io.Copy(io.Discard, a.Body)
+		Expect(err).To(HaveOccurred())
+		Expect(n).To(BeNumerically("<", len(big)))
+	})
+
 	It("gives each of many callers its own answer", func() {
 		echo := func(c net.Conn, _ int, r *http.Request, body string) bool {
 			t := r.URL.Path + body
--- a/lentilbend/internal/backend/request_test.go
+++ b/lentilbend/internal/backend/request_test.go
@@ -1,8 +1,10 @@
 package backend_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -116,6 +118,20 @@
 		Expect(s.runs()).To(BeZero())
 	})
 
+	It("refuses a caller that sends its body slowly, without a server's time", func() {
+		s := newServer(says(okAnswer))
+		e := newEntry(s.address())
+		c, err := net.Dial("tcp", e.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = fmt.Fprintf(c, "POST /sale/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nRequest-Timeout: 100ms\r\nContent-Length: 10\r\n\r\nx", goodKey)
+		Expect(err).NotTo(HaveOccurred())
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		refused(a, 504, exchange.NotRun)
+		Expect(s.runs()).To(BeZero())
+	})
+
 	It("passes a body of the largest size on", func() {
 		s := newServer(says(okAnswer))
 		a, _ := newEntry(s.address()).do("POST", "/sale/1", strings.Repeat("x", bodyLimit))
--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -175,7 +175,7 @@
 		Deadline: w.exchange.Deadline,
 		Streamed: w.body.streamed(),
 	}
-	if w.mayRunAgain() {
+	if w.mayRunAgain() && !t.Streamed {
 		t.Silent = func() { w.abandon(c, s) }
 	}
 	return c.RoundTrip(w.request(httptrace.WithClientTrace(w.ctx, &w.early.trace), c.Host()), t)
--- a/lentilbend/internal/caller/server_test.go
+++ b/lentilbend/internal/caller/server_test.go
@@ -26,9 +26,9 @@
 
 const headerLimit = 4 << 10
 
-// start runs a server whose requests are ended by h.
-func start(h exchange.HandlerFunc) (*Server, chan error) {
-	s := &Server{
+// newTestServer returns a server whose requests are ended by h.
+func newTestServer(h exchange.HandlerFunc) *Server {
+	return &Server{
 		Settings: settings.Caller{
 			Address:       netip.MustParseAddrPort("127.0.0.1:0"),
 			HeaderTimeout: 200 * time.Millisecond,
@@ -37,10 +37,22 @@
 		Sizes:   settings.Sizes{Header: headerLimit},
 		Handler: &Handler{Table: func() *table.Table { return &table.Table{} }, Next: h, HeaderLimit: headerLimit},
 	}
+}
+
+// run starts a server.
+func run(s *Server) chan error {
+	GinkgoHelper()
 	Expect(s.Listen()).To(Succeed())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run() }()
-	return s, ended
+	return ended
+}
+
+// start runs a server whose requests are ended by h.
+func start(h exchange.HandlerFunc) (*Server, chan error) {
+	GinkgoHelper()
+	s := newTestServer(h)
+	return s, run(s)
 }
 
 // echo answers with the request's body.
--- /dev/null
+++ b/lentilbend/internal/caller/tls_test.go
@@ -0,0 +1,62 @@
+package caller
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// certificate writes a certificate for 127.0.0.1 and its key.
+func certificate() (cert, key string) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	b, err := x509.CreateCertificate(rand.Reader, c, c, &k.PublicKey, k)
+	Expect(err).NotTo(HaveOccurred())
+	p, err := x509.MarshalPKCS8PrivateKey(k)
+	Expect(err).NotTo(HaveOccurred())
+	return write("CERTIFICATE", b), write("PRIVATE KEY", p)
+}
+
+func write(kind string, b []byte) string {
+	f := filepath.Join(GinkgoT().TempDir(), "file.pem")
+	Expect(os.WriteFile(f, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600)).To(Succeed())
+	return f
+}
+
+var _ = Describe("TLS", func() {
+	It("serves HTTP/2 and stops without cutting it", func() {
+		s := newTestServer(echo)
+		s.Settings.Certificate, s.Settings.Key = certificate()
+		ended := run(s)
+		t := &http.Transport{ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+		DeferCleanup(t.CloseIdleConnections)
+		r, err := http.NewRequest("GET", fmt.Sprintf("https://%s/", s.Address()), nil)
+		Expect(err).NotTo(HaveOccurred())
+		a, err := t.RoundTrip(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Body.Close()).To(Succeed())
+		Expect(a.ProtoMajor).To(Equal(2))
+		Expect(s.listener.list()).To(BeEmpty())
+		Expect(s.Shutdown(context.Background())).To(Succeed())
+		Expect(<-ended).To(Succeed())
+	})
+})
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -45,6 +45,9 @@
 // Process is one entry VM's process. Set the exported fields before Run.
 type Process struct {
 	Settings *settings.Settings
+	// Signals brings the signals that stop the process; those of the system
+	// when nil.
+	Signals chan os.Signal
 
 	root     *logging.Root
 	logger   log.Logger
@@ -103,8 +106,11 @@
 	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
 	_ = level.Info(p.logger).Log("msg", "Serving.", "address", p.Settings.Caller.Address)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := p.Signals
+	if signals == nil {
+		signals = make(chan os.Signal, 2)
+		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	}
 	select {
 	case err := <-failed:
 		return err
