--- a/internal/limit/virtual/world.go
+++ b/internal/limit/virtual/world.go
@@ -38,8 +38,11 @@
 	Repeat  float64
 	Late    float64
 	LateMax time.Duration
-	// Drift bounds the clocks' errors, as a part of 1.
+	// Drift is what Fleet.Drift is set to.
 	Drift float64
+	// ClockOff bounds how much the VMs' clocks are off, as a part of 1; Drift
+	// if 0.
+	ClockOff float64
 	// Skew is what Fleet.Skew is set to.
 	Skew float64
 	// Wrong is the part of views in which a VM is wrong about who answers.
@@ -126,7 +129,7 @@
 		Alive:      true,
 		DataCentre: centre,
 		world:      w,
-		rate:       1 + w.Drift*(2*w.Random.Float64()-1),
+		rate:       1 + w.clockOff()*(2*w.Random.Float64()-1),
 		base:       start.Add(time.Duration(w.Random.Int63n(int64(time.Hour)))),
 		since:      w.now,
 		counts:     map[member.ID]bool{},
@@ -153,6 +156,19 @@
 	return v
 }
 
+func (w *World) clockOff() float64 {
+	if w.ClockOff > 0 {
+		return w.ClockOff
+	}
+	return w.Drift
+}
+
+// Reaches reports whether a message from v to the process id would arrive.
+func (w *World) Reaches(v *VM, id member.ID) bool {
+	o := w.find(id.Address)
+	return o != nil && o.ID == id && !o.Frozen && (o == v || w.cut == nil || !w.cut(v, o))
+}
+
 // Now returns the VM's own clock.
 func (v *VM) Now() time.Time {
 	return v.base.Add(time.Duration(float64(v.world.now-v.since) * v.rate))
--- /dev/null
+++ b/standin/internal/measure/limitsbaseline.go
@@ -0,0 +1,75 @@
+package measure
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentilbend.example/internal/limit"
+	"lentilbend.example/internal/limit/virtual"
+	"lentilbend.example/internal/member"
+)
+
+// staticSplit gives each address one part in 16 of a limit, for good. A VM that
+// starts begins with an empty bucket.
+type staticSplit struct {
+	spec    limit.Spec
+	buckets map[member.ID]*virtual.Checker
+}
+
+func newStaticSplit(p limit.Spec) *staticSplit {
+	return &staticSplit{spec: p, buckets: map[member.ID]*virtual.Checker{}}
+}
+
+func (t *staticSplit) take(now time.Duration, v *virtual.VM) bool {
+	b := t.buckets[v.ID]
+	if b == nil {
+		b = &virtual.Checker{Rate: t.spec.Rate / limitsVMs, Burst: t.spec.Burst / limitsVMs}
+		t.buckets[v.ID] = b
+	}
+	return b.Try(now)
+}
+
+// owners keeps the whole bucket of a limit at its owner, the VM with the
+// highest score among those that the receiving VM believes to answer. An owner
+// begins with a full bucket, and keeps no lease.
+type owners struct {
+	spec    limit.Spec
+	buckets map[member.ID]*virtual.Checker
+}
+
+func newOwners(p limit.Spec) *owners {
+	return &owners{spec: p, buckets: map[member.ID]*virtual.Checker{}}
+}
+
+func (o *owners) take(now time.Duration, w *virtual.World, v *virtual.VM) bool {
+	id := o.owner(v)
+	if !w.Reaches(v, id) {
+		return false
+	}
+	b := o.buckets[id]
+	if b == nil {
+		b = &virtual.Checker{Rate: o.spec.Rate, Burst: o.spec.Burst}
+		o.buckets[id] = b
+	}
+	return b.Try(now)
+}
+
+func (o *owners) owner(v *virtual.VM) member.ID {
+	var best member.ID
+	var top uint64
+	for _, id := range v.Believes() {
+		if s := o.score(id.Address); s >= top {
+			best, top = id, s
+		}
+	}
+	return best
+}
+
+func (o *owners) score(a netip.AddrPort) uint64 {
+	b := binary.LittleEndian.AppendUint64(nil, uint64(o.spec.Rate))
+	b = append(b, a.String()...)
+	return xxhash.Sum64(b)
+}
