--- a/internal/member/model_test.go
+++ b/internal/member/model_test.go
@@ -171,6 +171,9 @@
 // end notes what requests of a process may hold after it took its last one.
 func (w *world) end(v *vm) {
 	v.ended = w.now
+	if w.paused(v) {
+		v.ended = v.pausedAt
+	}
 	if v.share.RunningUsable {
 		v.endedRunning = 1 / float64(v.share.RunningCount)
 	}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -254,6 +254,11 @@
 	return n.share
 }
 
+// Latest returns the own share as of the last call.
+func (n *Node) Latest() Share {
+	return n.share
+}
+
 // lose ends the standing.
 func (n *Node) lose(now time.Time) {
 	if n.standing {
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -10,7 +10,7 @@
 // Receive takes a message of another VM, and returns the answers.
 func (n *Node) Receive(now time.Time, from ID, m *peerpb.MemberMessage) []Send {
 	n.begin(now)
-	n.settle(now)
+	n.lapse(now)
 	if from.Address == n.Self.Address {
 		return nil
 	}
@@ -25,11 +25,14 @@
 		return n.due(now)
 	}
 	n.take(now, p, m)
+	if m.GetRequest() > 0 && !m.GetProbe() && !n.leaving {
+		n.promise(now, p, m)
+	}
+	n.settle(now)
 	var ss []Send
 	if m.GetRequest() > 0 {
 		ss = append(ss, n.grant(now, p, m))
 	}
-	n.settle(now)
 	return append(ss, n.due(now)...)
 }
 
@@ -229,15 +232,12 @@
 	}
 }
 
-// grant counts the sender and promises to go on doing so.
+// grant answers a request: a promise to go on counting the sender, or the view
+// that a probe asked for.
 func (n *Node) grant(now time.Time, p *peer, m *peerpb.MemberMessage) Send {
 	if n.leaving {
 		return n.farewell(now, p)
 	}
-	if !m.GetProbe() {
-		n.promise(now, p, m)
-	}
-	n.settle(now)
 	o := &peerpb.MemberMessage{
 		Grant:       m.GetRequest(),
 		Probe:       m.GetProbe(),
--- a/internal/member/settle.go
+++ b/internal/member/settle.go
@@ -10,9 +10,7 @@
 // share.
 func (n *Node) settle(now time.Time) {
 	n.last = now
-	if n.standing && !now.Before(n.until) {
-		n.lose(now)
-	}
+	n.lapse(now)
 	n.expire(now)
 	n.forget(now)
 	if !n.standing {
@@ -23,6 +21,13 @@
 	n.update(now)
 }
 
+// lapse ends a standing that was not prolonged in time.
+func (n *Node) lapse(now time.Time) {
+	if n.standing && !now.Before(n.until) {
+		n.lose(now)
+	}
+}
+
 // expire drops released VMs, VMs that only were candidates, and what was kept
 // about ended processes.
 func (n *Node) expire(now time.Time) {
@@ -161,11 +166,16 @@
 	for _, p := range n.order {
 		p.derived = false
 	}
+	marked := map[uint64]bool{}
 	for _, p := range n.order {
 		if !n.answers(now, p) || s && !p.standing {
 			continue
 		}
 		p.derived = true
+		if marked[p.seen] {
+			continue
+		}
+		marked[p.seen] = true
 		for _, id := range p.view {
 			n.mark(id)
 		}
--- a/lentilbend/internal/fleet/fleet.go
+++ b/lentilbend/internal/fleet/fleet.go
@@ -22,6 +22,10 @@
 // that counts as a pause.
 const jump = 500 * time.Millisecond
 
+// refresh is how long the state for the request path is kept while nothing
+// that it tells of is known to have changed.
+const refresh = 200 * time.Millisecond
+
 // seedEvery is the time between looks at the seeds and at whom to stay
 // connected to.
 const seedEvery = time.Second
@@ -55,19 +59,20 @@
 	share   member.Share
 	members []member.Member
 	allowed map[netip.Addr]bool
-	at      time.Time
+	// made is when members and allowed were worked out, at when the rest was.
+	made, at time.Time
 }
 
 // Run subscribes to ticks, pauses and the planned stop until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	f.do(time.Now(), f.Node.Tick)
+	f.do(f.Node.Tick)
 	if err := event.Subscribe(ctx, f.Bus, func(event.Tick) { f.tick(time.Now()) }); err != nil {
 		return err
 	}
 	if err := event.Subscribe(ctx, f.Bus, func(event.Pause) { f.pause(time.Now()) }); err != nil {
 		return err
 	}
-	if err := event.Subscribe(ctx, f.Bus, func(event.Stopping) { f.do(time.Now(), f.Node.Leave) }); err != nil {
+	if err := event.Subscribe(ctx, f.Bus, func(event.Stopping) { f.do(f.Node.Leave) }); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -78,20 +83,20 @@
 	if f.jumped(now) {
 		f.pause(now)
 	}
-	f.do(now, f.Node.Tick)
+	f.do(f.Node.Tick)
 	if now.Sub(f.seeded) < seedEvery {
 		return
 	}
 	f.seeded = now
 	if as := f.seeds(); len(as) > 0 {
-		f.do(now, func(now time.Time) []member.Send { return f.Node.Seed(now, as) })
+		f.do(func(now time.Time) []member.Send { return f.Node.Seed(now, as) })
 	}
 }
 
 func (f *Fleet) pause(now time.Time) {
 	f.pauses.Add(1)
 	_ = level.Warn(f.Logger).Log("msg", "Process was paused, promises are asked for again.")
-	f.do(now, func(now time.Time) []member.Send {
+	f.do(func(now time.Time) []member.Send {
 		f.Node.Pause(now)
 		return f.Node.Tick(now)
 	})
@@ -111,47 +116,61 @@
 // Handle takes the membership messages of a frame.
 func (f *Fleet) Handle(now time.Time, from member.ID, m *peerpb.Frame) {
 	if h := m.GetHello(); h != nil {
-		f.do(now, func(now time.Time) []member.Send { return f.Node.Meet(now, from, h.GetDataCentre()) })
+		f.do(func(now time.Time) []member.Send { return f.Node.Meet(now, from, h.GetDataCentre()) })
 	}
 	for _, x := range m.GetMember() {
-		f.do(now, func(now time.Time) []member.Send { return f.Node.Receive(now, from, x) })
+		f.do(func(now time.Time) []member.Send { return f.Node.Receive(now, from, x) })
 	}
 }
 
 // List takes an own read of the platform's list, sent at sent.
 func (f *Fleet) List(sent time.Time, revision uint64, vms []member.VM) {
-	f.do(time.Now(), func(now time.Time) []member.Send { return f.Node.List(now, sent, revision, vms) })
+	f.do(func(now time.Time) []member.Send { return f.Node.List(now, sent, revision, vms) })
 }
 
-// do runs one step of the node and sends what it returns.
-func (f *Fleet) do(now time.Time, step func(time.Time) []member.Send) {
+// do runs one step of the node and sends what it returns. The time is taken
+// under the lock, so that the node sees none go back.
+func (f *Fleet) do(step func(time.Time) []member.Send) {
 	f.mu.Lock()
+	now := time.Now()
 	ss := step(now)
-	f.publish(now)
 	to := f.Node.Addresses()
 	changed := !slices.Equal(to, f.to)
 	if changed {
 		f.to = to
 		f.Transport.Peers(now, to)
 	}
+	f.publish(now, changed)
 	f.mu.Unlock()
 	for _, s := range ss {
 		f.Transport.Send(s.To.Address, &peerpb.Frame{Member: []*peerpb.MemberMessage{s.Message}})
 	}
 }
 
-// publish stores the node's state for the request path; mu is held.
-func (f *Fleet) publish(now time.Time) {
-	s := &state{share: f.Node.Share(now), members: f.Node.Members(), allowed: map[netip.Addr]bool{}, at: now}
-	for _, a := range f.Node.Addresses() {
+// publish stores the node's state for the request path; mu is held. What is
+// costly is worked out anew only when it changed or got old.
+func (f *Fleet) publish(now time.Time, changed bool) {
+	o := f.state.Load()
+	s := &state{share: f.Node.Latest(), at: now}
+	if o != nil && !changed && o.share.Epoch == s.share.Epoch && now.Sub(o.made) < refresh {
+		s.members, s.allowed, s.made = o.members, o.allowed, o.made
+	} else {
+		f.fill(s, now)
+	}
+	f.state.Store(s)
+	if o != nil {
+		f.report(o.share, s.share)
+	}
+}
+
+func (f *Fleet) fill(s *state, now time.Time) {
+	s.members, s.allowed, s.made = f.Node.Members(), map[netip.Addr]bool{}, now
+	for _, a := range f.to {
 		s.allowed[a.Addr().Unmap()] = true
 	}
 	for _, a := range f.seeds() {
 		s.allowed[a.Addr().Unmap()] = true
 	}
-	if o := f.state.Swap(s); o != nil {
-		f.report(o.share, s.share)
-	}
 }
 
 func (f *Fleet) seeds() []netip.AddrPort {
