--- a/internal/fair/limit.go
+++ b/internal/fair/limit.go
@@ -128,7 +128,7 @@
 func (l *limit) step(peak float64) {
 	p := l.load()
 	l.value -= l.value * min(stepDownMax, stepUp/limitRight*p*p)
-	if peak >= usedPart*l.value {
+	if peak >= usedPart*max(l.value-1, limitLeast) {
 		l.value += stepUp
 	}
 	l.value = min(max(l.value, limitLeast), limitMost)
