--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -42,7 +42,7 @@
 	p := n.peers[id.Address]
 	if p == nil {
 		p = &peer{id: id, known: now}
-		n.peers[id.Address] = p
+		n.add(p)
 		return p
 	}
 	if id.Incarnation < p.id.Incarnation {
@@ -58,12 +58,13 @@
 // ended because an address belongs to one process.
 func (n *Node) replace(now time.Time, p *peer, id ID) *peer {
 	o := &peer{id: id, known: now, centre: p.centre, leaving: p.leaving, derived: p.derived}
-	n.peers[id.Address] = o
+	n.add(o)
 	if p.id.Incarnation == 0 {
 		return o
 	}
+	n.inherit(p)
 	if p.counted || p.derived {
-		n.haunt(p.id, n.runningEnd(now, p))
+		n.haunt(now, p.id, n.runningEnd(now, p))
 	}
 	if p.counted {
 		n.count(now, o)
@@ -72,6 +73,12 @@
 	return o
 }
 
+// inherit keeps the waits that an ended VM asked for.
+func (n *Node) inherit(p *peer) {
+	n.useFrom = latest(n.useFrom, p.useFrom)
+	n.runningFrom = latest(n.runningFrom, p.runningFrom)
+}
+
 // runningEnd returns when the last request of an ended process ends.
 func (n *Node) runningEnd(now time.Time, p *peer) time.Time {
 	if !p.runningUntil.IsZero() {
@@ -80,16 +87,31 @@
 	return now.Add(n.longer(n.RunningMax))
 }
 
-func (n *Node) haunt(id ID, until time.Time) {
-	if until.After(n.ghosts[id]) {
-		n.ghosts[id] = until
+// haunt goes on counting an ended process for running requests. Without
+// standing, this VM also waits for them and for the loans: they may be from
+// before this VM was counted.
+func (n *Node) haunt(now time.Time, id ID, until time.Time) {
+	n.ghosts[id] = latest(n.ghosts[id], until)
+	if !n.standing {
+		n.useFrom = latest(n.useFrom, now.Add(n.longer(n.LoanMax)))
+		n.runningFrom = latest(n.runningFrom, until)
 	}
 }
 
 // bury remembers that a process ended, so that late messages do not bring it
 // back.
 func (n *Node) bury(now time.Time, id ID) {
-	n.gone[id] = now.Add(n.longer(n.Promise) + n.Outage)
+	n.gone[id] = now.Add(n.memory())
+}
+
+func (n *Node) memory() time.Duration {
+	return n.longer(n.Promise) + n.Outage
+}
+
+// recent tells whether a process that is remembered until t ended so lately
+// that others may not know.
+func (n *Node) recent(now, t time.Time) bool {
+	return t.Sub(now) > n.memory()-2*n.Promise
 }
 
 // count begins to count a VM.
@@ -128,24 +150,39 @@
 	p.seen = m.GetDigest()
 	for _, e := range m.GetView() {
 		id, ok := decode(e)
-		if !ok {
-			continue
-		}
-		if id.Address == n.Self.Address {
+		switch t := milliseconds(e.GetRunningOnly()); {
+		case !ok:
+		case e.GetEnded():
+			n.end(now, id, t)
+		case t > 0 && !n.standing:
+			n.haunt(now, id, now.Add(n.longer(t)))
+		case t > 0:
+		case id.Address == n.Self.Address:
 			n.outrun = max(n.outrun, id.Incarnation)
-			continue
-		}
-		if e.GetRunningOnly() == 0 {
+		default:
 			p.view = append(p.view, id)
-			continue
-		}
-		if !n.standing {
-			n.haunt(id, now.Add(n.longer(milliseconds(e.GetRunningOnly()))))
 		}
 	}
 	n.introduce(now, p.view)
 }
 
+// end takes note that a process released its share or was replaced, as another
+// VM knows. Its loans may still run.
+func (n *Node) end(now time.Time, id ID, running time.Duration) {
+	p := n.peers[id.Address]
+	if p != nil && p.id == id && p.dropAt.IsZero() {
+		p.dropAt = now.Add(n.longer(n.LoanMax))
+		p.runningUntil = now.Add(n.longer(running))
+		return
+	}
+	if running > 0 && !n.standing {
+		n.haunt(now, id, now.Add(n.longer(running)))
+	}
+	if _, ok := n.gone[id]; !ok && (p == nil || p.id != id) {
+		n.bury(now, id)
+	}
+}
+
 // introduce makes the processes of a view known, so that they are asked.
 func (n *Node) introduce(now time.Time, ids []ID) {
 	for _, id := range ids {
@@ -154,7 +191,7 @@
 			continue
 		}
 		if n.peers[id.Address] == nil {
-			n.peers[id.Address] = &peer{id: id, known: now}
+			n.add(&peer{id: id, known: now})
 		}
 	}
 }
@@ -180,8 +217,13 @@
 	}
 	p.pending = p.pending[i+1:]
 	p.standing = m.GetStanding()
+	if m.GetProbe() {
+		p.probed = r.sent.Add(n.shorter(n.Promise))
+		return
+	}
 	p.useFrom = now.Add(n.longer(milliseconds(m.GetWait())))
 	p.runningFrom = now.Add(n.longer(milliseconds(m.GetRunningWait())))
+	p.told = p.told || r.listed && r.sequence > p.untold
 	if t := r.sent.Add(n.shorter(n.Promise)); t.After(p.held) {
 		p.held = t
 	}
@@ -192,11 +234,13 @@
 	if n.leaving {
 		return n.farewell(now, p)
 	}
-	n.count(now, p)
-	p.granted = now.Add(n.longer(n.Promise))
+	if !m.GetProbe() {
+		n.promise(now, p, m)
+	}
 	n.settle(now)
 	o := &peerpb.MemberMessage{
 		Grant:       m.GetRequest(),
+		Probe:       m.GetProbe(),
 		Digest:      n.digest,
 		Standing:    n.standing,
 		Wait:        until(now, p.loanFree),
@@ -206,12 +250,21 @@
 		o.HasView = true
 		o.View = n.view(now, p.id)
 	}
-	if p.next.Sub(now) < n.Promise/6 {
+	if p.next.Sub(now) < n.Promise/6 && n.probing(now) == m.GetProbe() {
 		n.ask(now, p, o)
 	}
 	return Send{To: p.id, Message: o}
 }
 
+// promise counts a VM from now on.
+func (n *Node) promise(now time.Time, p *peer, m *peerpb.MemberMessage) {
+	n.count(now, p)
+	p.granted = now.Add(n.longer(n.Promise))
+	if m.GetRequest() > p.asked {
+		p.asked, p.listed = m.GetRequest(), m.GetListed()
+	}
+}
+
 // farewell tells that the own share is released.
 func (n *Node) farewell(now time.Time, p *peer) Send {
 	p.next = now.Add(retry)
--- a/lentilbend/internal/fleet/fleet.go
+++ b/lentilbend/internal/fleet/fleet.go
@@ -83,8 +83,8 @@
 		return
 	}
 	f.seeded = now
-	if f.Seeds != nil {
-		f.do(now, func(now time.Time) []member.Send { return f.Node.Seed(now, f.Seeds()) })
+	if as := f.seeds(); len(as) > 0 {
+		f.do(now, func(now time.Time) []member.Send { return f.Node.Seed(now, as) })
 	}
 }
 
@@ -146,11 +146,21 @@
 	for _, a := range f.Node.Addresses() {
 		s.allowed[a.Addr().Unmap()] = true
 	}
+	for _, a := range f.seeds() {
+		s.allowed[a.Addr().Unmap()] = true
+	}
 	if o := f.state.Swap(s); o != nil {
 		f.report(o.share, s.share)
 	}
 }
 
+func (f *Fleet) seeds() []netip.AddrPort {
+	if f.Seeds == nil {
+		return nil
+	}
+	return f.Seeds()
+}
+
 func (f *Fleet) report(o, s member.Share) {
 	if o.Usable && !s.Usable {
 		f.losses.Add(1)
@@ -199,7 +209,7 @@
 	return as
 }
 
-// Allowed tells whether a VM at this IP is in the list or counted.
+// Allowed tells whether a VM at this IP is in the list, a seed or counted.
 func (f *Fleet) Allowed(ip netip.Addr) bool {
 	s := f.state.Load()
 	return s != nil && s.allowed[ip]
--- a/lentilbend/internal/peer/counters.go
+++ b/lentilbend/internal/peer/counters.go
@@ -25,6 +25,8 @@
 	ReceivedBytes  uint64
 	// Refused counts calls of VMs that may not talk.
 	Refused uint64
+	// SilentStreams counts streams replaced because they were silent.
+	SilentStreams uint64
 }
 
 // Counters returns the counts so far.
@@ -36,6 +38,7 @@
 		SentBytes:      c.sentBytes.Load(),
 		ReceivedBytes:  c.receivedBytes.Load(),
 		Refused:        c.refused.Load(),
+		SilentStreams:  c.silent.Load(),
 	}
 }
 
