--- a/standin/internal/measure/choicesim.go
+++ b/standin/internal/measure/choicesim.go
@@ -84,8 +84,6 @@
 	since   time.Duration
 	version int
 	end     func(ok bool, r load.Report)
-	// gone says that the caller gave up.
-	gone bool
 }
 
 // simLie is how a server's reports mislead.
@@ -188,6 +186,7 @@
 func (v *simServer) report() load.Report {
 	r := load.Report{Running: len(v.running), Queued: len(v.queue), Slots: v.slots, Cold: v.cold}
 	switch v.lie {
+	case lieNone:
 	case lieIdle:
 		return load.Report{Slots: v.slots}
 	case lieStale:
