Measure fairness in a small service too, and wait longer within the share

A workspace that had no more than its share now waits up to 15 usual latencies (5), others 8 (5), and may be 16 requests ahead (8).

--- a/internal/fair/gate.go
+++ b/internal/fair/gate.go
@@ -80,8 +80,10 @@
 const (
 	patienceLeast = 10 * time.Millisecond
 	patienceMost  = 200 * time.Millisecond
-	// patienceLatencies is how long a request waits, in usual latencies.
-	patienceLatencies = 5
+	// patienceLatencies is how long a request waits, in usual latencies, and
+	// patienceWithin for a workspace that had no more than its share.
+	patienceLatencies = 8
+	patienceWithin    = 15
 	// waitingFactor is the most requests that wait, in requests that run.
 	waitingFactor = 5
 	waitingLeast  = 32
@@ -114,8 +116,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.share(r.Workspace, r.Weight)
-	t := &Ticket{request: r, share: s, arrived: now, expires: g.expiry(now, r.Deadline)}
+	t := &Ticket{request: r, share: s, arrived: now}
 	s.arrive(g.virtual)
+	t.expires = g.expiry(now, s, r.Deadline)
 	if g.running < g.limit.whole() && g.waiting == 0 {
 		g.admit(now, t)
 		return t, Admitted{}
@@ -186,8 +189,11 @@
 }
 
 // expiry is when a request is no longer worth running, or waited too long.
-func (g *Gate) expiry(now, deadline time.Time) time.Time {
-	p := time.Duration(patienceLatencies * float64(g.limit.base))
+func (g *Gate) expiry(now time.Time, s *share, deadline time.Time) time.Time {
+	p := patienceLatencies * g.limit.base
+	if s.over() <= g.virtual {
+		p = patienceWithin * g.limit.base
+	}
 	e := now.Add(min(max(p, patienceLeast), patienceMost))
 	if d := deadline.Add(-g.limit.base); !deadline.IsZero() && d.Before(e) {
 		return d
--- a/internal/fair/share.go
+++ b/internal/fair/share.go
@@ -45,7 +45,7 @@
 
 // creditRequests is how many requests a workspace that had less than its share
 // may be ahead of the others.
-const creditRequests = 8
+const creditRequests = 16
 
 // arrive lets a workspace that had nothing waiting start level with the others,
 // or a little ahead of them when it had less than its share.
--- a/standin/internal/measure/choice.go
+++ b/standin/internal/measure/choice.go
@@ -150,7 +150,7 @@
 }
 
 func (j choiceJob) run() ChoiceRun {
-	b := newChoiceBench(j.seed, j.policy.policy, j.scenario == ScenarioLying)
+	b := newChoiceBench(j.seed, j.policy.policy, choiceServers, j.scenario == ScenarioLying)
 	switch j.scenario {
 	case ScenarioWell:
 	case ScenarioBursts:
@@ -164,7 +164,7 @@
 		b.servers[2].lie, b.servers[7].lie = lieStale, lieStale
 		b.servers[3].lie = lieDraining
 	}
-	for _, a := range arrivals(j.seed, j.load) {
+	for _, a := range arrivals(j.seed, choiceServers, j.load) {
 		b.sim.after(a.at, func() { b.send(a) })
 	}
 	b.sim.run(choiceLength + time.Minute)
@@ -181,10 +181,11 @@
 	}
 }
 
-// arrivals draws the requests of a run: Poisson, with log-normal work.
-func arrivals(seed uint64, part float64) []arrival {
+// arrivals draws the requests of a run at a part of the capacity of so many
+// servers: Poisson, with log-normal work.
+func arrivals(seed uint64, servers int, part float64) []arrival {
 	r := newRand(seed, 1)
-	rate := part * choiceServers * choiceSlots / serviceMean.Seconds()
+	rate := part * float64(servers) * choiceSlots / serviceMean.Seconds()
 	var as []arrival
 	var t float64
 	for {
@@ -203,10 +204,10 @@
 	return min(time.Duration(math.Exp(mu+serviceSigma*n)), serviceMost)
 }
 
-func newChoiceBench(seed uint64, p choice.Policy, lying bool) *choiceBench {
+func newChoiceBench(seed uint64, p choice.Policy, servers int, lying bool) *choiceBench {
 	b := &choiceBench{sim: &sim{}, byName: map[netip.AddrPort]*simServer{}, results: &samples{}}
 	var ss []choice.Server
-	for i := range choiceServers {
+	for i := range servers {
 		v := &simServer{
 			sim: b.sim, address: serverAddress(i), centre: i % choiceCentres,
 			slots: choiceSlots, speed: 1,
--- a/standin/internal/measure/choicetargets.go
+++ b/standin/internal/measure/choicetargets.go
@@ -80,7 +80,7 @@
 	for _, x := range r.Runs {
 		if x.Way == "Weighted" {
 			// A target is at most a bound, so the part that is missing is taken.
-			ts = append(ts, AtMost(x.Scenario+".WorstMissing", "of the share", 1-fairTarget, 1-x.WorstPart))
+			ts = append(ts, AtMost(fmt.Sprintf("%s.%dServers.WorstMissing", x.Scenario, x.Servers), "of the share", 1-fairTarget, 1-x.WorstPart))
 		}
 	}
 	return ts
--- a/standin/internal/measure/cold.go
+++ b/standin/internal/measure/cold.go
@@ -134,7 +134,7 @@
 	if b.way == "LeastOfTwo" {
 		p = choice.LeastOfTwo{}
 	}
-	b.choiceBench = *newChoiceBench(b.seed, p, false)
+	b.choiceBench = *newChoiceBench(b.seed, p, choiceServers, false)
 	one := &oneBucket{tokens: map[netip.AddrPort]float64{}, filled: map[netip.AddrPort]time.Time{}}
 	for i, s := range b.sets {
 		s.Cold = one
@@ -146,7 +146,7 @@
 	}
 	b.counts = make([]int, choiceServers)
 	b.script()
-	for _, a := range arrivals(b.seed, coldLoad) {
+	for _, a := range arrivals(b.seed, choiceServers, coldLoad) {
 		b.sim.after(a.at, func() { b.try(a, nil) })
 	}
 	b.news()
--- a/standin/internal/measure/fair.go
+++ b/standin/internal/measure/fair.go
@@ -14,7 +14,9 @@
 	fairLength   = 12 * time.Second
 	fairDeadline = time.Second
 	fairLoad     = 1.5
-	fairTick     = 5 * time.Millisecond
+	// fairFew is the number of servers in a small service.
+	fairFew  = 6
+	fairTick = 5 * time.Millisecond
 	// hogFactor is by how many times one workspace passes its share.
 	hogFactor = 10
 	// fairTarget is the least part of its weighted share that every other
@@ -27,6 +29,8 @@
 	// Scenario is BusyOthers, where the others want their whole share and
 	// more, or QuietOthers, where they want less.
 	Scenario string
+	// Servers is how many servers of 6 slots there are for 16 entry VMs.
+	Servers int
 	// Way is None, one queue, or by weight.
 	Way string
 	// WorstPart is what the worst-served other workspace got of its share.
@@ -121,7 +125,9 @@
 	var bs []*fairBench
 	for _, s := range []string{"BusyOthers", "QuietOthers"} {
 		for _, w := range []string{"None", "OneQueue", "Weighted"} {
-			bs = append(bs, &fairBench{seed: seed, scenario: s, way: w, tenants: fairTenants(s)})
+			for _, n := range []int{choiceServers, fairFew} {
+				bs = append(bs, &fairBench{seed: seed, size: n, scenario: s, way: w, tenants: fairTenants(s)})
+			}
 		}
 	}
 	r.Runs = make([]FairRun, len(bs))
@@ -132,6 +138,7 @@
 // fairBench is the state of a run.
 type fairBench struct {
 	seed     uint64
+	size     int
 	scenario string
 	way      string
 	tenants  []tenant
@@ -145,7 +152,7 @@
 }
 
 func (b *fairBench) run() FairRun {
-	b.choiceBench = *newChoiceBench(b.seed, choice.NewInformed(), false)
+	b.choiceBench = *newChoiceBench(b.seed, choice.NewInformed(), b.size, false)
 	b.served = make([]int, len(b.tenants))
 	b.offered = make([]int, len(b.tenants))
 	for range choiceVMs {
@@ -156,7 +163,7 @@
 		load += t.wish
 	}
 	r := newRand(b.seed, 5)
-	for _, a := range arrivals(b.seed, load) {
+	for _, a := range arrivals(b.seed, b.size, load) {
 		if a.at > fairLength {
 			break
 		}
@@ -259,8 +266,8 @@
 }
 
 func (b *fairBench) result() FairRun {
-	r := FairRun{Scenario: b.scenario, Way: b.way, Refused: b.refused, WorstPart: 1}
-	all := (fairLength - choiceWarmup).Seconds() * choiceServers * choiceSlots / serviceMean.Seconds()
+	r := FairRun{Scenario: b.scenario, Servers: b.size, Way: b.way, Refused: b.refused, WorstPart: 1}
+	all := (fairLength - choiceWarmup).Seconds() * float64(b.size) * choiceSlots / serviceMean.Seconds()
 	for i := range b.tenants {
 		b.tenants[i].wish = float64(b.offered[i]) / all
 	}
