Measure cold starts with the fleet-wide limit; forget the cold time's slowness

A server that left its cold start was still held to be slow, since the bias learned while it was cold fades in 10 s.

--- a/internal/choice/dump.go
+++ b/internal/choice/dump.go
@@ -37,6 +37,8 @@
 	InFlight int
 	// Slowness is 1 when answers take as long as usual.
 	Slowness float64
+	// Bias is added to the number that the server reports.
+	Bias float64
 	// Requests is the number that the server reported, ReportAge its age.
 	Requests  int
 	ReportAge time.Duration
@@ -84,6 +86,7 @@
 		Part:       1,
 		InFlight:   v.calls.count,
 		Slowness:   v.slow,
+		Bias:       v.bias,
 		Requests:   v.report.Running + v.report.Queued,
 		Chosen:     v.chosen,
 		ColdTaken:  v.coldTaken,
--- a/internal/choice/news.go
+++ b/internal/choice/news.go
@@ -136,7 +136,7 @@
 		}
 	case StateBack:
 		if v.start.bounded() && v.start.since.Before(at) {
-			v.start.ramp(s.now, s.Rand.Float64())
+			s.rise(v)
 			v.health.until = s.now
 		}
 	case StateNone:
--- a/internal/choice/outcome.go
+++ b/internal/choice/outcome.go
@@ -113,21 +113,23 @@
 	case phaseDoubt:
 		if r != nil || s.now.Sub(v.start.since) >= s.coldFor {
 			s.rise(v)
+			s.tell(v, StateBack)
 		} else {
 			v.start.cold(v.start.since)
 		}
 	case phaseCold:
 		if r != nil && !r.Cold || r == nil && s.now.Sub(v.start.since) >= s.coldFor {
 			s.rise(v)
+			s.tell(v, StateBack)
 		}
 	}
 }
 
 // rise begins a server's ramp. The credit differs by chance, so that entry VMs
-// do not all start at once.
+// do not all start at once. How slow it was before says nothing now.
 func (s *Set) rise(v *server) {
 	v.start.ramp(s.now, s.Rand.Float64())
-	s.tell(v, StateBack)
+	v.slow, v.bias = 1, 0
 }
 
 // shed takes a server's word that it did not start the request: it is full.
--- a/lentilbend/internal/filter/share/share.go
+++ b/lentilbend/internal/filter/share/share.go
@@ -23,9 +23,8 @@
 	// Gate returns the gate of a service, or nil when there is none.
 	Gate func(service string) *fair.Gate
 
-	waited  atomic.Uint64
-	refused atomic.Uint64
-	left    atomic.Uint64
+	waited atomic.Uint64
+	left   atomic.Uint64
 }
 
 // Filter passes x on when it may run.
@@ -48,7 +47,6 @@
 		defer func() { g.Leave(time.Now(), t) }()
 		next.Serve(x)
 	case fair.Refused:
-		f.refused.Add(1)
 		refuse(x, v)
 	case fair.Waiting:
 	}
@@ -91,8 +89,6 @@
 var (
 	waitedTotal = prometheus.NewDesc("lentilbend_share_waited_total",
 		"Requests that waited for their turn.", nil, nil)
-	refusedTotal = prometheus.NewDesc("lentilbend_share_refused_total",
-		"Requests refused because their service was overloaded.", nil, nil)
 	leftTotal = prometheus.NewDesc("lentilbend_share_left_total",
 		"Requests whose caller went away while they waited.", nil, nil)
 )
@@ -100,13 +96,11 @@
 // Describe sends the descriptions of the metrics.
 func (f *Filter) Describe(c chan<- *prometheus.Desc) {
 	c <- waitedTotal
-	c <- refusedTotal
 	c <- leftTotal
 }
 
 // Collect sends the metrics.
 func (f *Filter) Collect(c chan<- prometheus.Metric) {
 	c <- prometheus.MustNewConstMetric(waitedTotal, prometheus.CounterValue, float64(f.waited.Load()))
-	c <- prometheus.MustNewConstMetric(refusedTotal, prometheus.CounterValue, float64(f.refused.Load()))
 	c <- prometheus.MustNewConstMetric(leftTotal, prometheus.CounterValue, float64(f.left.Load()))
 }
--- a/standin/internal/measure/choicetargets.go
+++ b/standin/internal/measure/choicetargets.go
@@ -90,7 +90,7 @@
 func (r ColdResult) Targets() []Target {
 	var ts []Target
 	for _, x := range r.Runs {
-		if x.Way == "InformedOneBucket" {
+		if x.Way == "InformedFleetLimit" {
 			ts = append(ts, AtMost(x.Scenario+".Beyond", "requests", 0, float64(x.Beyond)))
 		}
 	}
--- a/standin/internal/measure/cold.go
+++ b/standin/internal/measure/cold.go
@@ -33,7 +33,7 @@
 	// (turns cold between two requests) or New (a server added to the table).
 	Scenario string
 	// Way is LeastOfTwo, or Informed with each VM's equal part of the
-	// allowance or with one bucket for all.
+	// allowance, with one exact bucket for all, or with the fleet-wide limit.
 	Way string
 	// Given are the requests that the server got while it was cold.
 	Given int
@@ -60,7 +60,7 @@
 	r := ColdResult{Seed: seed}
 	var bs []*coldBench
 	for _, s := range []string{"Restart", "NoWarning", "New"} {
-		for _, w := range []string{"LeastOfTwo", "InformedEqualParts", "InformedOneBucket"} {
+		for _, w := range []string{"LeastOfTwo", "InformedEqualParts", "InformedOneBucket", "InformedFleetLimit"} {
 			bs = append(bs, &coldBench{seed: seed, scenario: s, way: w})
 		}
 	}
@@ -136,8 +136,15 @@
 	}
 	b.choiceBench = *newChoiceBench(b.seed, p, choiceServers, false)
 	one := &oneBucket{tokens: map[netip.AddrPort]float64{}, filled: map[netip.AddrPort]time.Time{}}
+	var fleet []fleetAllowance
+	if b.way == "InformedFleetLimit" {
+		fleet = b.limits()
+	}
 	for i, s := range b.sets {
 		s.Cold = one
+		if fleet != nil {
+			s.Cold = fleet[i]
+		}
 		if b.way == "InformedEqualParts" {
 			l := &choice.Local{Rand: newRand(b.seed, uint64(300+i))}
 			l.Set(coldRate, choiceVMs)
