Look for silent connections every 20 ms and take smaller buffers

The least time after which a request counts as silent is 50 ms, so a look every 10 ms was more often than needed.

--- a/lentilbend/internal/pool/open.go
+++ b/lentilbend/internal/pool/open.go
@@ -115,8 +115,8 @@
 		Protocols:              p,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 256 << 10,
-		ReadBufferSize:         8 << 10,
-		WriteBufferSize:        8 << 10,
+		ReadBufferSize:         4 << 10,
+		WriteBufferSize:        4 << 10,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			n, err := d.DialContext(ctx, network, address)
 			if err != nil {
--- a/lentilbend/internal/pool/set.go
+++ b/lentilbend/internal/pool/set.go
@@ -8,7 +8,7 @@
 )
 
 // SweepInterval is the time between looks for silent connections.
-const SweepInterval = 10 * time.Millisecond
+const SweepInterval = 20 * time.Millisecond
 
 // Set holds one pool for each backend server. Set the exported fields before
 // use.
