--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	stdlog "log"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"lentilbend.example/lentilbend/internal/backend"
@@ -16,6 +18,7 @@
 
 // buildPath makes the parts between callers and backend servers.
 func (p *Process) buildPath() error {
+	p.takeLibraryLog()
 	c := &connections{
 		Table: p.table,
 		VMs:   func(now time.Time) int { return p.fleet.Share(now).Count },
@@ -43,6 +46,13 @@
 	return p.caller.Listen()
 }
 
+// takeLibraryLog writes what net/http logs by itself, such as bytes that came
+// on an idle connection, as debug lines.
+func (p *Process) takeLibraryLog() {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.NewStdlibAdapter(level.Debug(p.root.Part("http"))))
+}
+
 // filters returns the row that every request passes.
 func (p *Process) filters() exchange.Handler {
 	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.rate, p.share)
