Do not send what a pause held up after the choice of a server

A request whose process stood still between the choice and the first byte was made again and sent to the same server, by a table that may be long out of date. Beyond a second it is now refused with not-run.

--- a/lentilbend/internal/backend/forward.go
+++ b/lentilbend/internal/backend/forward.go
@@ -114,6 +114,12 @@
 			Status: http.StatusBadGateway, Run: run, Cause: exchange.CauseBroken,
 			Reason: "The backend server gave no whole answer.",
 		})
+	case held:
+		x.Refuse(exchange.Refusal{
+			Status: http.StatusServiceUnavailable, Run: run, Cause: exchange.CauseHeld,
+			Reason:     "The entry VM was paused while it held the request.",
+			RetryAfter: time.Second,
+		})
 	default:
 		x.Refuse(exchange.Refusal{
 			Status: http.StatusServiceUnavailable, Run: run, Cause: exchange.CauseNoServer,
--- a/lentilbend/internal/backend/once_test.go
+++ b/lentilbend/internal/backend/once_test.go
@@ -164,6 +164,17 @@
 		Expect(left.Milliseconds()).To(BeNumerically("<", 100))
 	})
 
+	It("does not send what a pause held up after the choice", func() {
+		s := newServer(says(okAnswer))
+		e := newEntry(s.address())
+		var now atomic.Int64
+		e.forwarder.Now = func() time.Time { return time.Now().Add(time.Duration(now.Load())) }
+		e.forwarder.Chooser = pausing{pause: func() { now.Add(int64(1100 * time.Millisecond)) }}
+		a, _ := e.do("GET", "/read/1", "")
+		refused(a, 503, exchange.NotRun)
+		Expect(s.runs()).To(BeZero())
+	})
+
 	It("says that an expired request did not run", func() {
 		s := newServer(says(okAnswer))
 		a, _ := newEntry(s.address()).do("POST", "/sale/1", "x", exchange.TimeoutHeader, "0s")
--- a/lentilbend/internal/backend/order_test.go
+++ b/lentilbend/internal/backend/order_test.go
@@ -26,3 +26,14 @@
 
 func (c call) Server() netip.AddrPort      { return netip.AddrPort(c) }
 func (call) End(time.Time, choice.Outcome) {}
+
+// pausing chooses in order and pauses after the choice.
+type pausing struct {
+	inOrder
+	pause func()
+}
+
+func (p pausing) Choose(now time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, bool) {
+	defer p.pause()
+	return p.inOrder.Choose(now, x, tried)
+}
--- a/lentilbend/internal/backend/result.go
+++ b/lentilbend/internal/backend/result.go
@@ -36,6 +36,9 @@
 // notSent means that no byte was written.
 type notSent struct{}
 
+// held means that the process was paused before any byte was written.
+type held struct{}
+
 // shed means that the server said that it did not start the request.
 type shed struct {
 	retryAfter time.Duration
@@ -63,6 +66,7 @@
 func (cut) result()       {}
 func (noServer) result()  {}
 func (notSent) result()   {}
+func (held) result()      {}
 func (shed) result()      {}
 func (broken) result()    {}
 func (abandoned) result() {}
--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -25,6 +25,11 @@
 // the answer's way back.
 const returnMargin = 2 * time.Millisecond
 
+// heldMost is the longest time between the choice of a server and the first
+// byte to it. After a longer one, which only a pause of the process explains,
+// the key may have been withdrawn and the server taken out meanwhile.
+const heldMost = time.Second
+
 // work is the forwarding of one exchange.
 type work struct {
 	forwarder *Forwarder
@@ -39,7 +44,9 @@
 	// reached says that a backend server's application may have seen the
 	// request.
 	reached bool
-	early   early
+	// chosen is when the current server was chosen.
+	chosen time.Time
+	early  early
 	// values back the header fields that are set here, most of the time.
 	values [5]string
 	used   int
@@ -106,7 +113,8 @@
 	if r := w.ended(); r != nil {
 		return r
 	}
-	call, ok := w.forwarder.Chooser.Choose(w.forwarder.now(), w.exchange, w.tried)
+	w.chosen = w.forwarder.now()
+	call, ok := w.forwarder.Chooser.Choose(w.chosen, w.exchange, w.tried)
 	if !ok {
 		return noServer{}
 	}
@@ -132,6 +140,11 @@
 	if err != nil {
 		return w.noConn(call, err), false
 	}
+	if w.forwarder.now().Sub(w.chosen) > heldMost {
+		c.Release()
+		w.end(call, choice.NotSent{})
+		return held{}, false
+	}
 	var s state
 	a, err := w.roundTrip(c, &s)
 	if err != nil {
--- a/lentilbend/internal/exchange/refusal.go
+++ b/lentilbend/internal/exchange/refusal.go
@@ -34,6 +34,7 @@
 	CauseNoRoute    Cause = "no-route"
 	CauseNoKey      Cause = "no-key"
 	CauseDeadline   Cause = "deadline"
+	CauseHeld       Cause = "paused"
 	CauseNoServer   Cause = "no-server"
 	CauseShed       Cause = "shed"
 	CauseBroken     Cause = "broken"
