Tell an unreachable server from a busy one

A request that waited 200 ms for a connection ended as busy also when the opening hung, so the choice never learned of a server that drops packets. It is told of a failure now.

--- a/lentilbend/internal/pool/open.go
+++ b/lentilbend/internal/pool/open.go
@@ -44,6 +44,9 @@
 }
 
 func (p *Pool) start() {
+	if p.opening == 0 {
+		p.openingSince = time.Now()
+	}
 	p.opening++
 	go p.dial()
 }
--- a/lentilbend/internal/pool/pool.go
+++ b/lentilbend/internal/pool/pool.go
@@ -13,8 +13,14 @@
 	"time"
 )
 
-// ErrBusy means that no connection came free in time and none may be opened.
-var ErrBusy = errors.New("pool: all connections to the server are busy")
+// Errors of Take. Nothing was sent.
+var (
+	// ErrBusy means that no connection came free in time and none may be
+	// opened.
+	ErrBusy = errors.New("pool: all connections to the server are busy")
+	// ErrUnreachable means that a connection was not opened in time.
+	ErrUnreachable = errors.New("pool: no connection to the server could be opened in time")
+)
 
 // Bounds of the queue for a connection.
 const (
@@ -34,9 +40,11 @@
 	doubtful []*Conn
 	busy     map[*Conn]struct{}
 	opening  int
-	waiters  []*waiter
-	trial    *Conn
-	retired  bool
+	// openingSince is when the oldest opening under way may have begun.
+	openingSince time.Time
+	waiters      []*waiter
+	trial        *Conn
+	retired      bool
 	// lived is the shortest idle time after which the server closed a
 	// connection; 0 when unknown.
 	lived    time.Duration
@@ -71,7 +79,7 @@
 
 // Take returns a connection for one request. A careful request, one that must
 // not run twice, gets none that the server may be about to close. The error is
-// ErrBusy, that of opening a connection, or that of ctx; nothing was sent.
+// ErrBusy, ErrUnreachable, that of opening a connection, or that of ctx; nothing was sent.
 func (p *Pool) Take(ctx context.Context, careful bool) (*Conn, error) {
 	p.mu.Lock()
 	if p.retired {
@@ -103,13 +111,23 @@
 		return d.conn, d.err
 	case <-t.C:
 		p.leave(w)
-		return nil, ErrBusy
+		return nil, p.whyLate()
 	case <-ctx.Done():
 		p.leave(w)
 		return nil, ctx.Err()
 	}
 }
 
+// whyLate returns why a request waited for too long.
+func (p *Pool) whyLate() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.opening > 0 && time.Since(p.openingSince) > queueLongest/2 {
+		return ErrUnreachable
+	}
+	return ErrBusy
+}
+
 // leave takes a waiter out of the queue and puts back what it was given.
 func (p *Pool) leave(w *waiter) {
 	p.mu.Lock()
--- a/lentilbend/internal/pool/pool_test.go
+++ b/lentilbend/internal/pool/pool_test.go
@@ -163,6 +163,16 @@
 		Expect(err).To(MatchError(ErrBusy))
 	})
 
+	It("tells a server that cannot be reached from a busy one", func() {
+		f := newFixture(1)
+		f.pool.client.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		_, err := f.pool.Take(context.Background(), true)
+		Expect(err).To(MatchError(ErrUnreachable))
+	})
+
 	It("opens ahead of need", func() {
 		f := newFixture(10)
 		f.set.Ahead = 2
