--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -233,107 +231,3 @@
 	}
 	return o.WithContext(ctx)
 }
-
-// failed judges a round trip without an answer.
-func (w *work) failed(call choice.Call, c *pool.Conn, s *state, err error) (result, bool) {
-	sent := c.Written()
-	w.reached = w.reached || sent
-	if e := w.body.failure(); e != nil {
-		w.end(call, choice.Cancelled{})
-		return w.bodyResult(e), false
-	}
-	if r := w.ended(); r != nil {
-		w.endOver(call, r, sent)
-		return r, false
-	}
-	if !sent {
-		return w.unsent(call, err)
-	}
-	w.end(call, choice.Failed{})
-	if s.Load() == isAbandoned {
-		return abandoned{}, false
-	}
-	return broken{}, false
-}
-
-// unsent judges a round trip of which no byte was written.
-func (w *work) unsent(call choice.Call, err error) (result, bool) {
-	if !errors.Is(err, pool.ErrLate) && w.body.again() {
-		return nil, true
-	}
-	w.end(call, choice.NotSent{})
-	if errors.Is(err, pool.ErrLate) {
-		return expired{}, false
-	}
-	return notSent{}, false
-}
-
-// endOver ends a call whose exchange is over.
-func (w *work) endOver(call choice.Call, r result, sent bool) {
-	_, late := r.(expired)
-	switch {
-	case !sent:
-		w.end(call, choice.NotSent{})
-	case late:
-		w.end(call, choice.TimedOut{})
-	default:
-		w.end(call, choice.Cancelled{})
-	}
-}
-
-// head judges an answer by its head, and passes it on.
-func (w *work) head(call choice.Call, c *pool.Conn, s *state, a *http.Response) result {
-	if !s.CompareAndSwap(waiting, hasAnswer) {
-		w.reached = true
-		c.Close()
-		w.end(call, choice.Failed{})
-		return abandoned{}
-	}
-	first := c.FirstByte()
-	c.Answered(first)
-	if a.Header.Get(load.RunHeader) == load.NotRun {
-		w.finish(c, a)
-		w.end(call, choice.Shed{Load: w.report(a.Header)})
-		return shed{retryAfter: retryAfter(a.Header)}
-	}
-	w.reached = true
-	if a.StatusCode == http.StatusSwitchingProtocols {
-		c.Close()
-		w.end(call, choice.Failed{})
-		return broken{}
-	}
-	return w.pass(answered{response: a, conn: c, call: call, first: first, load: w.report(a.Header)})
-}
-
-// finish reads the short rest of an answer, so that its connection can be used
-// again.
-func (w *work) finish(c *pool.Conn, a *http.Response) {
-	if _, err := io.CopyN(io.Discard, a.Body, bufferSize); err != io.EOF {
-		c.Close()
-		return
-	}
-	c.Release()
-}
-
-// report returns the load that the server reports, or nil.
-func (w *work) report(h http.Header) *load.Report {
-	vs := h[load.Header]
-	if len(vs) == 0 {
-		return nil
-	}
-	r, ok := load.Parse(strings.Join(vs, ", "))
-	if !ok {
-		return nil
-	}
-	w.load = r
-	return &w.load
-}
-
-// retryAfter returns the server's Retry-After in seconds, or 0.
-func retryAfter(h http.Header) time.Duration {
-	n, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || n < 0 || n > 3600 {
-		return 0
-	}
-	return time.Duration(n) * time.Second
-}
