Mend what random faults found under load

Causes: the write deadline was the request's, so an answer that came just before it was cut; a streamed body that was answered before its end made net/http read the connection twice and panic; and unread bytes reset the connection before the answer was read. Writing may now last a second beyond the deadline, a connection whose body was not read to its end says so and closes, and a short rest of the body is read. The dead server of the tests now keeps its port: another run's server could get it and mix the counts.

--- a/lentilbend/internal/backend/answer.go
+++ b/lentilbend/internal/backend/answer.go
@@ -4,10 +4,16 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"lentilbend.example/internal/choice"
 )
 
+// writingTime is how long after the deadline an answer that came in time may
+// still be written. Without it the library would cut an answer that came just
+// before the deadline.
+const writingTime = time.Second
+
 // pass passes an answer on to the caller. A short answer is read whole first,
 // so that one that breaks off can still be refused or tried elsewhere.
 func (w *work) pass(a answered) result {
@@ -44,13 +50,14 @@
 func (w *work) writeHead(a *http.Response) {
 	x := w.exchange
 	x.Status = a.StatusCode
-	x.LimitWriting(x.Deadline)
+	x.LimitWriting(x.Deadline.Add(writingTime))
 	h := x.Writer.Header()
 	passHeader(h, a.Header)
 	for n := range a.Trailer {
 		h.Add("Trailer", n)
 	}
 	x.Headed = w.forwarder.now()
+	w.body.leftUnread(x, x.Headed)
 	x.Writer.WriteHeader(a.StatusCode)
 }
 
--- a/lentilbend/internal/backend/body.go
+++ b/lentilbend/internal/backend/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"lentilbend.example/lentilbend/internal/exchange"
 	"lentilbend.example/lentilbend/internal/filter/key"
@@ -16,6 +17,10 @@
 // is held whole, and the most of a streamed body that is held at once.
 const bufferSize = 32 << 10
 
+// drainTime is how long a caller may take to send the rest of a body that was
+// answered before its end.
+const drainTime = time.Second
+
 // errTooLarge means that a body is longer than the limit.
 var errTooLarge = errors.New("backend: the request's body is too large")
 
@@ -34,6 +39,7 @@
 
 	buffer *[bufferSize]byte
 	read   atomic.Int64
+	whole  atomic.Bool
 	failed atomic.Pointer[error]
 }
 
@@ -57,6 +63,7 @@
 	if b.length > 0 && b.length <= bufferSize {
 		b.buffer = buffers.Get().(*[bufferSize]byte)
 		_, err := io.ReadFull(r.Body, b.buffer[:b.length])
+		b.whole.Store(err == nil)
 		return b, err
 	}
 	_ = c.EnableFullDuplex()
@@ -95,6 +102,7 @@
 		err = errTooLarge
 	}
 	if err == io.EOF {
+		b.whole.Store(true)
 		b.passTrailer()
 		return n, err
 	}
@@ -123,6 +131,18 @@
 	return b.length != 0 && b.buffer == nil
 }
 
+// leftUnread says to x's caller, when the body was not read to its end, that
+// the connection ends after the answer. The library would read the rest and
+// the next request at once, and panic. It reads a short rest, so that the
+// caller gets the answer, and has drainTime for it.
+func (b *body) leftUnread(x *exchange.Exchange, now time.Time) {
+	if b.length == 0 || b.whole.Load() || x.Request.ProtoMajor != 1 {
+		return
+	}
+	x.Writer.Header()["Connection"] = []string{"close"}
+	_ = http.NewResponseController(x.Writer).SetReadDeadline(now.Add(drainTime))
+}
+
 // again reports whether the whole body can be sent once more.
 func (b *body) again() bool {
 	return b.length == 0 || b.buffer != nil || b.read.Load() == 0
--- a/lentilbend/internal/backend/forward.go
+++ b/lentilbend/internal/backend/forward.go
@@ -87,6 +87,7 @@
 // refuse ends the exchange by what the last attempt came to.
 func (w *work) refuse(r result) {
 	x := w.exchange
+	w.body.leftUnread(x, w.forwarder.now())
 	run := exchange.NotRun
 	if w.reached {
 		run = exchange.RunUnknown
--- a/lentilbend/internal/backend/once_test.go
+++ b/lentilbend/internal/backend/once_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"lentilbend.example/lentilbend/internal/exchange"
 )
@@ -33,13 +34,17 @@
 	return false
 }
 
-// deadServer returns an address at which nothing listens.
+// deadServer returns an address at which nothing listens. The port stays taken,
+// so that no other server gets it.
 func deadServer() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	Expect(err).NotTo(HaveOccurred())
-	a := netip.MustParseAddrPort(l.Addr().String())
-	Expect(l.Close()).To(Succeed())
-	return a
+	DeferCleanup(func() { _ = unix.Close(fd) })
+	loopback := [4]byte{127, 0, 0, 1}
+	Expect(unix.Bind(fd, &unix.SockaddrInet4{Addr: loopback})).To(Succeed())
+	a, err := unix.Getsockname(fd)
+	Expect(err).NotTo(HaveOccurred())
+	return netip.AddrPortFrom(netip.AddrFrom4(loopback), uint16(a.(*unix.SockaddrInet4).Port))
 }
 
 var _ = Describe("at most once", func() {
--- a/lentilbend/internal/backend/request_test.go
+++ b/lentilbend/internal/backend/request_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -132,6 +133,30 @@
 		Expect(s.runs()).To(BeZero())
 	})
 
+	It("ends the connection of a body that was answered before its end", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, okAnswer)
+		}()
+		e := newEntry(netip.MustParseAddrPort(l.Addr().String()))
+		c, err := net.Dial("tcp", e.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = fmt.Fprintf(c, "POST /sale/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 100000\r\n\r\n%s", goodKey, strings.Repeat("x", 50_000))
+		Expect(err).NotTo(HaveOccurred())
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(200))
+		Expect(a.Close).To(BeTrue())
+	})
+
 	It("passes a body of the largest size on", func() {
 		s := newServer(says(okAnswer))
 		a, _ := newEntry(s.address()).do("POST", "/sale/1", strings.Repeat("x", bodyLimit))
