Ask another VM where the home has no part of a limit

Ruled out: the rate's share (usable when ready) and lost messages (a dump of all three VMs showed RunningUsable false on the home alone). Conclusion: homes are hints; shares and loans alone carry the invariant.

--- a/internal/choice/choice_test.go
+++ b/internal/choice/choice_test.go
@@ -136,6 +136,15 @@
 		Expect(b.spread(400, drains)).NotTo(HaveKey(bad))
 	})
 
+	It("checks no word of draining later than a few seconds after it", func() {
+		bad := b.hosts[4].Address
+		b.spread(100, func(c choice.Call) {
+			b.good(c, load.Report{Running: 1, Slots: 6, Draining: c.Server() == bad})
+		})
+		b.pass(5 * time.Second)
+		Expect(b.spread(400, func(c choice.Call) { b.good(c, load.Report{Running: 1, Slots: 6}) })).NotTo(HaveKey(bad))
+	})
+
 	It("still serves when every server says that it drains", func() {
 		got := b.spread(400, func(c choice.Call) {
 			b.pass(usual)
--- a/internal/choice/server.go
+++ b/internal/choice/server.go
@@ -52,9 +52,12 @@
 }
 
 // Times for which a server's word that it drains counts. A first word may be
-// wrong, and is checked by one request.
+// wrong, and is checked by a request between drainFirst and drainCheck after
+// it. Without one by then it is believed, so that a VM with few requests sends
+// none long after the server began to drain.
 const (
 	drainFirst = 2 * time.Second
+	drainCheck = 4 * time.Second
 	drainAgain = time.Minute
 	drainMost  = 10 * time.Minute
 )
@@ -87,7 +90,14 @@
 
 // drains says whether the server said of itself that it wants no new work.
 func (s *server) drains(now time.Time) bool {
-	return s.drain.row > 0 && now.Sub(s.drain.at) < s.drain.length()
+	if s.drain.row == 0 {
+		return false
+	}
+	d := now.Sub(s.drain.at)
+	if s.drain.row == 1 && d >= drainCheck {
+		return d < drainAgain
+	}
+	return d < s.drain.length()
 }
 
 // take keeps a report that came now.
--- a/internal/limit/fleet.go
+++ b/internal/limit/fleet.go
@@ -50,9 +50,11 @@
 	start   time.Time
 	share   member.Share
 	members []member.Member
-	peers   map[member.ID]*peer
-	leaving bool
-	paused  bool
+	// candidates are the VMs that may be homes; the slice is not changed.
+	candidates atomic.Pointer[[]candidate]
+	peers      map[member.ID]*peer
+	leaving    bool
+	paused     bool
 	// notBefore is the earliest own time that loans may count from.
 	notBefore uint64
 	size      float64
@@ -180,6 +182,9 @@
 		f.shares(now)
 	}
 	if slices.Equal(f.members, ms) {
+		if changed {
+			f.place(now)
+		}
 		return
 	}
 	f.members = slices.Clone(ms)
--- a/internal/limit/granted.go
+++ b/internal/limit/granted.go
@@ -19,6 +19,11 @@
 	b.add(t.sent.Add(f.less(t.valid)), got)
 	b.add(t.sent.Add(f.less(time.Duration(g.GetAheadMs())*time.Millisecond)), int(g.GetAhead()))
 	t.scarce, t.unready = g.GetAhead() == 0, g.GetUnready()
+	if t.unready {
+		if rs := b.avoid(f, now, from); t.home != from {
+			return append(rs, b.serve(f, now, t.home == nil)...)
+		}
+	}
 	short := got < t.asked
 	b.pace(now, g, short)
 	return b.serve(f, now, short)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"lentilbend.example/internal/member"
 )
 
 // LoanMax is the longest time for which a loan or a token of a rate may be
@@ -113,15 +111,3 @@
 	binary.LittleEndian.PutUint16(b[20:], a.Port())
 	return xxhash.Sum64(b[:])
 }
-
-// home returns the candidate with the highest score.
-func home(limit uint32, candidates []member.ID) (member.ID, bool) {
-	var best member.ID
-	var top uint64
-	for i, c := range candidates {
-		if s := score(limit, c.Address); i == 0 || s > top {
-			best, top = c, s
-		}
-	}
-	return best, len(candidates) > 0
-}
--- a/internal/limit/run.go
+++ b/internal/limit/run.go
@@ -120,6 +120,9 @@
 	f.announce(now, b)
 	rs := b.overdue(f, now)
 	t := &b.taker
+	if t.astray {
+		rs = append(rs, b.settleHome(f, now)...)
+	}
 	b.trim(now)
 	if b.kind.counted() && t.home != nil && !t.pending && t.tokens() < t.reported {
 		m := message(out, t.home.id)
--- a/internal/limit/taker.go
+++ b/internal/limit/taker.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
@@ -26,7 +27,12 @@
 	home *peer
 	// self says that this VM is the home.
 	self bool
-	lots []lot
+	// astray says that the home is not the VM with the highest score, because
+	// that one has no part of the limit; avoided holds the VMs that said so,
+	// and until when they are not asked.
+	astray  bool
+	avoided map[member.ID]time.Time
+	lots    []lot
 	// running is the number of own requests that hold units of the lots.
 	running int
 	number  uint32
