--- a/standin/internal/measure/choice.go
+++ b/standin/internal/measure/choice.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -15,16 +16,19 @@
 	choiceServers = 16
 	choiceCentres = 4
 	choiceSlots   = 6
-	choiceLength  = 20 * time.Second
-	choiceWarmup  = 2 * time.Second
-	serviceMean   = 10 * time.Millisecond
-	serviceSigma  = 1.0
-	serviceMost   = 500 * time.Millisecond
-	nearDelay     = 100 * time.Microsecond
-	farDelay      = 1250 * time.Microsecond
-	slowSpeed     = 0.2
-	burstLength   = 50 * time.Millisecond
-	burstPause    = 50 * time.Millisecond
+	// choiceProbeRate is the budget of probes a second of all VMs together.
+	choiceProbeRate = 2.0
+	probeEvery      = 500 * time.Millisecond
+	choiceLength    = 20 * time.Second
+	choiceWarmup    = 2 * time.Second
+	serviceMean     = 10 * time.Millisecond
+	serviceSigma    = 1.0
+	serviceMost     = 500 * time.Millisecond
+	nearDelay       = 100 * time.Microsecond
+	farDelay        = 1250 * time.Microsecond
+	slowSpeed       = 0.2
+	burstLength     = 50 * time.Millisecond
+	burstPause      = 50 * time.Millisecond
 	// feedEvery is how many bursts pass from one that hits a whole feed, four
 	// servers, to the next.
 	feedEvery = 4
@@ -139,6 +143,7 @@
 	sets    []*choice.Set
 	oracle  *oracle
 	results *samples
+	probes  int
 }
 
 func (j choiceJob) run() ChoiceRun {
@@ -159,6 +164,7 @@
 	for _, a := range arrivals(j.seed, choiceServers, j.load) {
 		b.sim.after(a.at, func() { b.send(a) })
 	}
+	b.probe(newRand(j.seed, 4))
 	b.sim.run(choiceLength + time.Minute)
 	return ChoiceRun{
 		Scenario: j.scenario,
@@ -170,6 +176,7 @@
 		P999:     milliseconds(b.results.whole.quantile(0.999)),
 		Added99:  milliseconds(b.results.added.quantile(0.99)),
 		Failures: b.results.failures,
+		Probes:   b.probes,
 	}
 }
 
@@ -194,13 +201,34 @@
 		return b
 	}
 	for i := range choiceVMs {
-		s := &choice.Set{Policy: p, Rand: newRand(seed, uint64(100+i))}
-		s.Update(epoch, choice.Limits{Slots: choiceSlots, ColdFor: 10 * time.Second}, ss)
+		l := &choice.Local{Together: true, Rand: newRand(seed, uint64(300+i))}
+		l.Set(choiceProbeRate, choiceVMs)
+		s := &choice.Set{Policy: p, Rand: newRand(seed, uint64(100+i)), Probes: l}
+		s.Update(epoch, choice.Limits{
+			Slots: choiceSlots, ColdFor: 10 * time.Second, VMs: choiceVMs, Probed: true,
+		}, ss)
 		b.sets = append(b.sets, s)
 	}
 	return b
 }
 
+// probe lets the VMs ask the load endpoints of servers that get no work.
+func (b *choiceBench) probe(r *rand.Rand) {
+	for _, s := range b.sets {
+		if a, ok := s.Probe(b.sim.time()); ok {
+			b.probes++
+			v := b.byName[a]
+			b.sim.after(2*farDelay, func() {
+				r := v.report()
+				s.Probed(b.sim.time(), a, &r)
+			})
+		}
+	}
+	if b.sim.now < choiceLength {
+		b.sim.after(probeEvery/2+time.Duration(r.Int64N(int64(probeEvery))), func() { b.probe(r) })
+	}
+}
+
 // bursts makes servers slow at changing places.
 func (b *choiceBench) bursts(seed uint64, pause time.Duration) {
 	r := newRand(seed, 2)
