--- /dev/null
+++ b/lentilbend/internal/filter/share/share_test.go
@@ -0,0 +1,97 @@
+package share_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/internal/fair"
+	"lentilbend.example/internal/table"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+	"lentilbend.example/lentilbend/internal/filter/share"
+)
+
+func TestShare(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "share")
+}
+
+var _ = Describe("the filter", func() {
+	var g *fair.Gate
+	var f *share.Filter
+	var ran int
+
+	BeforeEach(func() {
+		g, ran = &fair.Gate{}, 0
+		f = &share.Filter{Gate: func(string) *fair.Gate { return g }}
+	})
+
+	serve := func(ctx context.Context) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		x := &exchange.Exchange{
+			Writer:   w,
+			Request:  httptest.NewRequestWithContext(ctx, http.MethodGet, "/", http.NoBody),
+			Service:  &table.Service{Name: "till"},
+			Deadline: time.Now().Add(time.Hour),
+		}
+		f.Filter(x, exchange.HandlerFunc(func(*exchange.Exchange) { ran++ }))
+		return w
+	}
+
+	// fill takes every place of the gate.
+	fill := func() {
+		for {
+			q := fair.Request{Workspace: "a", Weight: 1, Done: func(fair.Verdict) {}}
+			if _, v := g.Enter(time.Now(), q); v == (fair.Waiting{}) {
+				return
+			}
+		}
+	}
+
+	It("passes requests on and gives their places back", func() {
+		for range 200 {
+			serve(context.Background())
+		}
+		Expect(ran).To(Equal(200))
+		Expect(g.Dump().Running).To(BeZero())
+	})
+
+	It("gives the place back when the handler panics", func() {
+		x := &exchange.Exchange{Service: &table.Service{Name: "till"}, Deadline: time.Now().Add(time.Hour)}
+		Expect(func() {
+			f.Filter(x, exchange.HandlerFunc(func(*exchange.Exchange) { panic(http.ErrAbortHandler) }))
+		}).To(Panic())
+		Expect(g.Dump().Running).To(BeZero())
+	})
+
+	It("refuses as not run when the wait is over", func() {
+		fill()
+		done := make(chan *httptest.ResponseRecorder)
+		go func() { done <- serve(context.Background()) }()
+		Eventually(g.Waiting).Should(Equal(2))
+		g.Tick(time.Now().Add(time.Hour))
+		w := <-done
+		Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(w.Header().Get(exchange.RunHeader)).To(Equal(string(exchange.NotRun)))
+		Expect(w.Header().Get("Retry-After")).To(Equal("1"))
+		Expect(ran).To(BeZero())
+	})
+
+	It("leaves the queue when the caller goes away", func() {
+		fill()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan *httptest.ResponseRecorder)
+		go func() { done <- serve(ctx) }()
+		Eventually(g.Waiting).Should(Equal(2))
+		cancel()
+		<-done
+		Expect(g.Waiting()).To(Equal(1))
+		Expect(ran).To(BeZero())
+	})
+})
