--- a/standin/internal/measure/choice.go
+++ b/standin/internal/measure/choice.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"lentilbend.example/internal/choice"
-	"lentilbend.example/internal/load"
 )
 
 // Sizes of the measurement "choice".
@@ -29,6 +28,11 @@
 	slowSpeed       = 0.2
 	burstLength     = 50 * time.Millisecond
 	burstPause      = 50 * time.Millisecond
+	stallAt         = 8 * time.Second
+	stallLength     = 3 * time.Second
+	stallSpeed      = 1e-6
+	// choiceDeadline is how long a request may take.
+	choiceDeadline = time.Second
 	// feedEvery is how many bursts pass from one that hits a whole feed, four
 	// servers, to the next.
 	feedEvery = 4
@@ -44,8 +48,10 @@
 	// ScenarioBurstRow has none.
 	ScenarioBursts   ChoiceScenario = "SlowBursts"
 	ScenarioBurstRow ChoiceScenario = "SlowBurstsInARow"
-	ScenarioFailing  ChoiceScenario = "FailingFast"
-	ScenarioLying    ChoiceScenario = "LyingReports"
+	// ScenarioStalled has one server that stops for stallLength.
+	ScenarioStalled ChoiceScenario = "Stalled"
+	ScenarioFailing ChoiceScenario = "FailingFast"
+	ScenarioLying   ChoiceScenario = "LyingReports"
 )
 
 // ChoiceRun is one policy's result over one set of arrivals.
@@ -78,7 +84,7 @@
 func Choice(seed uint64) ChoiceResult {
 	r := ChoiceResult{Seed: seed}
 	var jobs []choiceJob
-	for _, c := range []ChoiceScenario{ScenarioWell, ScenarioBursts, ScenarioBurstRow, ScenarioFailing, ScenarioLying} {
+	for _, c := range []ChoiceScenario{ScenarioWell, ScenarioBursts, ScenarioBurstRow, ScenarioStalled, ScenarioFailing, ScenarioLying} {
 		for _, l := range []float64{0.5, 0.7, 0.85} {
 			for _, p := range choicePolicies() {
 				jobs = append(jobs, choiceJob{seed: seed, scenario: c, load: l, policy: p})
@@ -156,6 +162,9 @@
 		b.bursts(j.seed, 0)
 	case ScenarioFailing:
 		b.servers[5].failing = true
+	case ScenarioStalled:
+		b.sim.after(stallAt, func() { b.speed([]int{5}, stallSpeed) })
+		b.sim.after(stallAt+stallLength, func() { b.speed([]int{5}, 1) })
 	case ScenarioLying:
 		b.servers[1].lie, b.servers[6].lie = lieIdle, lieIdle
 		b.servers[2].lie, b.servers[7].lie = lieStale, lieStale
@@ -251,45 +260,6 @@
 	}
 }
 
-// send gives a request to the server that its VM chooses.
-func (b *choiceBench) send(a arrival) {
-	if b.oracle != nil {
-		v := b.oracle.choose(a.vm % choiceCentres)
-		b.deliver(a, v, func(bool, load.Report) {})
-		return
-	}
-	c, ok := b.sets[a.vm].Choose(b.sim.time(), nil)
-	if !ok {
-		b.results.failures++
-		return
-	}
-	sent := b.sim.now
-	b.deliver(a, b.byName[c.Server()], func(ok bool, r load.Report) {
-		o := choice.Answered{Status: 200, Load: &r, FirstByte: b.sim.now - sent}
-		if !ok {
-			o.Status = 500
-		}
-		c.End(b.sim.time(), o)
-	})
-}
-
-// deliver carries a request to v and its answer back.
-func (b *choiceBench) deliver(a arrival, v *simServer, end func(ok bool, r load.Report)) {
-	d := delay(a.vm%choiceCentres, v.centre)
-	v.coming++
-	j := &simJob{left: a.work}
-	j.end = func(ok bool, r load.Report) {
-		b.sim.after(d, func() {
-			b.results.add(a, b.sim.now-a.at, ok)
-			end(ok, r)
-		})
-	}
-	b.sim.after(d, func() {
-		v.coming--
-		v.arrive(j)
-	})
-}
-
 // delay is the time one way between two data centres.
 func delay(a, b int) time.Duration {
 	if a == b {
--- a/standin/internal/measure/fair.go
+++ b/standin/internal/measure/fair.go
@@ -5,7 +5,6 @@
 
 	"lentilbend.example/internal/choice"
 	"lentilbend.example/internal/fair"
-	"lentilbend.example/internal/load"
 )
 
 // Sizes of the measurement "fair".
@@ -177,14 +176,14 @@
 	if !ok {
 		return
 	}
-	sent := b.sim.now
-	b.deliver(a, b.byName[c.Server()], func(_ bool, r load.Report) {
-		d := b.sim.now - sent
-		c.End(b.sim.time(), choice.Answered{Status: 200, Load: &r, FirstByte: d})
-		b.gates[a.vm].Observe(b.sim.time(), fair.Sample{
-			Latency: d, Reported: true, Queued: r.Queued, Slots: r.Slots,
-		})
-		b.count(a, i)
+	b.deliver(a, b.byName[c.Server()], func(o choice.Outcome) {
+		c.End(b.sim.time(), o)
+		if n, ok := o.(choice.Answered); ok {
+			b.gates[a.vm].Observe(b.sim.time(), fair.Sample{
+				Latency: n.FirstByte, Reported: true, Queued: n.Load.Queued, Slots: n.Load.Slots,
+			})
+			b.count(a, i)
+		}
 		if leave != nil {
 			leave()
 		}
