Keep a server leaving when the list drops it; start new services cold

A leaving server that vanished from the VM list was taken as back, and got work by the cold allowance. The servers of a service that came into the table while the VM served were taken as warm.

--- a/internal/choice/cold_test.go
+++ b/internal/choice/cold_test.go
@@ -87,6 +87,30 @@
 		Expect(got).NotTo(HaveKey(b.hosts[0].Address))
 	})
 
+	It("belongs to a service that is new in the table", func() {
+		b.hosts = []choice.Server{{Address: address(20)}}
+		n := &choice.Set{Policy: b.set.Policy, Rand: b.set.Rand, Cold: b.cold, New: true}
+		n.Update(b.now, choice.Limits{Slots: 6}, b.hosts)
+		_, ok := n.Choose(b.now, nil)
+		Expect(ok).To(BeFalse())
+		b.cold.left = 1
+		_, ok = n.Choose(b.now.Add(time.Second), nil)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("stays leaving when the list drops it, until the list shows it again", func() {
+		b.hosts[1].Leaving = true
+		b.update()
+		b.hosts[1].Leaving, b.hosts[1].Missing = false, true
+		b.update()
+		b.cold.left = 5
+		Expect(b.spread(100, b.answerIdle)).NotTo(HaveKey(bad))
+		b.hosts[1].Missing = false
+		b.update()
+		Expect(b.dump(1).Phase).To(Equal("Cold"))
+		Expect(b.spread(1, b.answerIdle)).To(HaveKey(bad))
+	})
+
 	It("is in doubt after a broken connection, and back after an answer", func() {
 		for {
 			c := b.choose()
--- a/internal/choice/schedule_test.go
+++ b/internal/choice/schedule_test.go
@@ -23,7 +23,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		RegisterTestingT(t)
 		b := newBench(rapid.IntRange(1, 8).Draw(t, "servers"), rapid.Uint64().Draw(t, "seed"))
-		s := schedule{bench: b}
+		s := schedule{bench: b, leaving: map[int]bool{}}
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
 			s.step(t)
 		}
@@ -33,6 +33,8 @@
 type schedule struct {
 	*bench
 	calls []choice.Call
+	// leaving tells which servers are leaving and were not shown live since.
+	leaving map[int]bool
 }
 
 func (s *schedule) step(t *rapid.T) {
@@ -43,6 +45,7 @@
 		s.hosts[i].Out = rapid.Bool().Draw(t, "out")
 		s.hosts[i].Leaving = rapid.Bool().Draw(t, "leaving")
 		s.hosts[i].Missing = rapid.Bool().Draw(t, "missing")
+		s.leaving[i] = s.hosts[i].Leaving || s.leaving[i] && s.hosts[i].Missing
 		s.update()
 	case 1:
 		s.cold.left = rapid.IntRange(0, 3).Draw(t, "allowed")
@@ -68,7 +71,7 @@
 	if !ok {
 		for i, d := range before.Servers {
 			h := s.hosts[i]
-			if !h.Out && !h.Leaving && (d.Phase == "Warm" || d.Phase == "Ramp") {
+			if !h.Out && !s.leaving[i] && (d.Phase == "Warm" || d.Phase == "Ramp") {
 				t.Fatalf("no server, but %v might serve", d)
 			}
 		}
@@ -79,7 +82,7 @@
 		if h.Address != c.Server() {
 			continue
 		}
-		if h.Out || h.Leaving {
+		if h.Out || s.leaving[i] {
 			t.Fatalf("%v chosen", h)
 		}
 		p := before.Servers[i].Phase
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -13,6 +13,9 @@
 type Set struct {
 	// Service is the name of the service.
 	Service string
+	// New says that the service came into the table while this VM served, so
+	// that its first servers are taken as cold too.
+	New bool
 	// Policy picks the server.
 	Policy Policy
 	// Rand is the source of chance; nil for a random one.
@@ -63,7 +66,8 @@
 
 // Update sets the servers of the service. A server that a former call did not
 // name, or that comes back into service, is taken as cold; those of the first
-// call are not.
+// call are not, unless New. A server that was leaving and is then missing from
+// the list is still leaving.
 func (s *Set) Update(now time.Time, l Limits, ss []Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,8 +86,9 @@
 		if n == nil {
 			n = &server{address: v.Address, slow: 1}
 		}
+		v.Leaving = v.Leaving || n.leaving && v.Missing
 		back := n.out && !v.Out || n.leaving && !v.Leaving
-		if s.started && (known[v.Address] == nil || back) {
+		if (s.started || s.New) && (known[v.Address] == nil || back) {
 			s.renew(n)
 		}
 		n.centre = s.centre(v.DataCentre)
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -103,7 +103,7 @@
 	_ = level.Info(s.Logger).Log("msg", "Choosing servers.", "service", name)
 	v := &service{cold: &choice.Local{}, probes: &choice.Local{Together: true}}
 	v.gate = &fair.Gate{}
-	v.set = &choice.Set{Service: name, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake}
+	v.set = &choice.Set{Service: name, New: s.services.Load() != nil, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake}
 	if s.Cold != nil {
 		v.set.Cold = s.Cold(name)
 	}
