--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -9,6 +9,7 @@
 type call struct {
 	set    *Set
 	server *server
+	kind   *latencies
 	start  time.Time
 	// wait is the wait in the server's queue that was expected at the start.
 	wait       time.Duration
@@ -70,17 +71,15 @@
 	return n
 }
 
-// lateness returns by how many times the usual late latency the oldest calls
-// are late, squared, in sum: a little lateness is common, much is not.
-func (l *calls) lateness(now time.Time, late time.Duration) float64 {
-	if late <= 0 {
-		return 0
-	}
+// lateness returns by how many times the late latency of their kind the oldest
+// calls are late, squared, in sum: a little lateness is common, much is not.
+func (l *calls) lateness(now time.Time) float64 {
 	var s float64
 	n := 0
 	for c := l.first; c != nil && n < scanned; c = c.next {
+		late := c.kind.late
 		d := now.Sub(c.start) - late - c.wait
-		if d > 0 {
+		if d > 0 && late > 0 {
 			x := float64(d) / float64(late)
 			s += x * x
 		}
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -148,7 +148,7 @@
 // expected to end.
 func (s *Set) expected(p Informed, v *server) float64 {
 	f := v.slowness(s.now, s.fade(p.Slow))
-	f += p.Late * v.calls.lateness(s.now, s.usual.late)
+	f += p.Late * v.calls.lateness(s.now)
 	f += evidenceFactor * v.health.weight(s.now)
 	if v.missing && s.now.Sub(v.heard) > missingKnown {
 		f *= missingFactor
--- a/internal/choice/latency.go
+++ b/internal/choice/latency.go
@@ -105,3 +105,27 @@
 	}
 	return m
 }
+
+// kindsMost is how many kinds of request of a service are told apart.
+const kindsMost = 64
+
+// kind returns the latencies of a kind; kinds beyond kindsMost are taken
+// together.
+func (s *Set) kind(name string) *latencies {
+	l := s.kinds[name]
+	if l != nil {
+		return l
+	}
+	if len(s.kinds) >= kindsMost {
+		name = ""
+	}
+	if l = s.kinds[name]; l != nil {
+		return l
+	}
+	if s.kinds == nil {
+		s.kinds = map[string]*latencies{}
+	}
+	l = &latencies{}
+	s.kinds[name] = l
+	return l
+}
--- a/internal/choice/outcome.go
+++ b/internal/choice/outcome.go
@@ -48,6 +48,7 @@
 		return
 	}
 	s.usual.add(d)
+	c.kind.add(d)
 	v.centre.latencies.add(d)
 	if s.usual.fresh == 0 {
 		s.distances()
@@ -72,10 +73,10 @@
 
 // ratio returns a latency in units of what was expected of the call.
 func (s *Set) ratio(c *call, d time.Duration) float64 {
-	if !s.usual.known() {
+	if !c.kind.known() {
 		return 1
 	}
-	return float64(d) / float64(s.usual.mean+c.wait)
+	return float64(d) / float64(c.kind.mean+c.wait)
 }
 
 func (s *Set) slower(v *server, ratio float64) {
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -41,6 +41,7 @@
 	servers  []*server
 	centres  []*centre
 	usual    latencies
+	kinds    map[string]*latencies
 	mean     mean // requests at a server, by all reports
 	ratios   mean // latencies in units of what was expected
 	next     int
@@ -130,9 +131,10 @@
 	}
 }
 
-// Choose picks a server that is not in tried. It returns false when there is
-// none that may get the request.
-func (s *Set) Choose(now time.Time, tried []netip.AddrPort) (Call, bool) {
+// Choose picks a server that is not in tried for a request of a kind; kinds
+// differ in how long they take. It returns false when there is none that may get
+// the request.
+func (s *Set) Choose(now time.Time, kind string, tried []netip.AddrPort) (Call, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begin(now)
@@ -141,7 +143,9 @@
 		s.none++
 		return nil, false
 	}
-	return s.call(v), true
+	c := s.call(v)
+	c.kind = s.kind(kind)
+	return c, true
 }
 
 func (s *Set) pick(tried []netip.AddrPort) *server {
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -63,7 +63,15 @@
 			return nil, false
 		}
 	}
-	return v.set.Choose(now, tried)
+	return v.set.Choose(now, kind(x), tried)
+}
+
+// kind returns the name of the kind of request.
+func kind(x *exchange.Exchange) string {
+	if x.Route == nil {
+		return ""
+	}
+	return x.Route.Kind
 }
 
 func (s *Services) find(name string) *service {
--- a/standin/internal/measure/choicearrivals.go
+++ b/standin/internal/measure/choicearrivals.go
@@ -10,6 +10,7 @@
 	at   time.Duration
 	vm   int
 	work time.Duration
+	kind string
 }
 
 // arrivals draws the requests of a run at a part of the capacity of so many
@@ -34,3 +35,32 @@
 	mu := math.Log(float64(serviceMean)) - serviceSigma*serviceSigma/2
 	return min(time.Duration(math.Exp(mu+serviceSigma*n)), serviceMost)
 }
+
+// kind is a kind of request in ScenarioKinds.
+type kind struct {
+	name  string
+	part  float64
+	mean  time.Duration
+	sigma float64
+}
+
+// kinds have a mean of serviceMean together.
+var kinds = []kind{
+	{name: "quick", part: 0.9, mean: 4 * time.Millisecond, sigma: 0.5},
+	{name: "heavy", part: 0.1, mean: 64 * time.Millisecond, sigma: 0.5},
+}
+
+// divide gives each arrival a kind and its work.
+func divide(as []arrival, seed uint64) []arrival {
+	r := newRand(seed, 6)
+	for i := range as {
+		k := kinds[0]
+		if r.Float64() >= k.part {
+			k = kinds[1]
+		}
+		mu := math.Log(float64(k.mean)) - k.sigma*k.sigma/2
+		as[i].kind = k.name
+		as[i].work = min(time.Duration(math.Exp(mu+k.sigma*r.NormFloat64())), serviceMost)
+	}
+	return as
+}
--- a/standin/internal/measure/choicetargets.go
+++ b/standin/internal/measure/choicetargets.go
@@ -54,7 +54,7 @@
 		ts = append(ts, AtMost(at+".OfBestBaseline", "", choiceEqual, ours.P99/best))
 	case ScenarioBursts, ScenarioBurstRow:
 		ts = append(ts, AtMost(at+".OfBestBaseline", "", choiceHalf, ours.P99/best))
-	case ScenarioFailing, ScenarioLying:
+	case ScenarioKinds, ScenarioStalled, ScenarioFailing, ScenarioLying:
 	}
 	return ts
 }
