Count a cold server's work by the checker of the limits

The measurement had a bucket of its own in two shapes. The shared checker is stricter: a request beyond the limit counts against what comes next.

--- a/standin/internal/measure/cold.go
+++ b/standin/internal/measure/cold.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/limit/virtual"
 	"lentilbend.example/internal/load"
 )
 
@@ -76,9 +77,7 @@
 	way      string
 
 	choiceBench
-	meter  coldMeter
-	given  int
-	beyond int
+	meter  *virtual.Checker
 	warmAt time.Duration
 	full   time.Duration
 	counts []int
@@ -90,7 +89,8 @@
 		p = choice.LeastOfTwo{}
 	}
 	b.choiceBench = *newChoiceBench(b.seed, p, choiceServers, false)
-	one := &oneBucket{tokens: map[netip.AddrPort]float64{}, filled: map[netip.AddrPort]time.Time{}}
+	one := oneBucket{}
+	b.meter = newColdMeter()
 	var fleet []fleetAllowance
 	if b.way == "InformedFleetLimit" {
 		fleet = b.limits()
@@ -250,18 +250,15 @@
 	if !v.cold {
 		return
 	}
-	b.given++
-	if !b.meter.take(b.sim.now) {
-		b.beyond++
-	}
+	b.meter.Use(b.sim.now)
 }
 
 func (b *coldBench) result() ColdRun {
 	return ColdRun{
 		Scenario:  b.scenario,
 		Way:       b.way,
-		Given:     b.given,
-		Beyond:    b.beyond,
+		Given:     b.meter.Used,
+		Beyond:    b.meter.Over,
 		FullAfter: milliseconds(b.full),
 		Requests:  b.results.requests,
 		Failures:  b.results.failures,
--- a/standin/internal/measure/coldmeter.go
+++ b/standin/internal/measure/coldmeter.go
@@ -3,49 +3,25 @@
 import (
 	"net/netip"
 	"time"
+
+	"lentilbend.example/internal/limit/virtual"
 )
 
-// coldMeter is what the cold server bears: a bucket, with room for the
-// differences of the requests' time on their way.
-type coldMeter struct {
-	tokens float64
-	filled time.Duration
-}
-
-func (m *coldMeter) take(now time.Duration) bool {
-	most := coldBurst + coldRate*(2*farDelay).Seconds()
-	if m.filled == 0 {
-		m.tokens = most
-	} else {
-		m.tokens = min(most, m.tokens+coldRate*(now-m.filled).Seconds())
-	}
-	m.filled = now
-	if m.tokens < 1 {
-		return false
-	}
-	m.tokens--
-	return true
+// newColdMeter returns the bucket of what the cold server bears, with room for
+// the differences of the requests' time on their way.
+func newColdMeter() *virtual.Checker {
+	return &virtual.Checker{Rate: coldRate, Burst: coldBurst + coldRate*(2*farDelay).Seconds()}
 }
 
 // oneBucket is an exact allowance that all VMs share.
-type oneBucket struct {
-	tokens map[netip.AddrPort]float64
-	filled map[netip.AddrPort]time.Time
-}
+type oneBucket map[netip.AddrPort]*virtual.Checker
 
 // Take uses one unit for server when one is free.
-func (b *oneBucket) Take(now time.Time, server netip.AddrPort) bool {
-	t, ok := b.tokens[server]
-	if !ok {
-		t = coldBurst
-	} else {
-		t = min(coldBurst, t+coldRate*now.Sub(b.filled[server]).Seconds())
-	}
-	b.filled[server] = now
-	if t < 1 {
-		b.tokens[server] = t
-		return false
+func (b oneBucket) Take(now time.Time, server netip.AddrPort) bool {
+	c := b[server]
+	if c == nil {
+		c = &virtual.Checker{Rate: coldRate, Burst: coldBurst}
+		b[server] = c
 	}
-	b.tokens[server] = t - 1
-	return true
+	return c.Try(now.Sub(epoch))
 }
