Check a word of draining within two seconds or not at all

The word counted for 2 s; after that a server was chosen again whenever its turn came, on each VM. The check is now one deliberate request of each VM between one and two seconds after the word; else the word counts for ten minutes.

--- a/internal/choice/cold.go
+++ b/internal/choice/cold.go
@@ -27,11 +27,14 @@
 }
 
 // pickTrial picks a server whose suspension is over and not yet followed by a
-// good answer. It gets one request at a time.
+// good answer, or whose word that it drains is to be checked. It gets one
+// request at a time.
 func (s *Set) pickTrial(tried []netip.AddrPort) *server {
 	for _, v := range s.servers {
-		h := &v.health
-		if h.trial() && !h.suspended(s.now) && v.calls.count == 0 && s.tier(v, tried) == tierGood {
+		if v.calls.count > 0 || !v.usable(tried) || v.start.bounded() || v.health.suspended(s.now) {
+			continue
+		}
+		if v.drain.open(s.now) || v.health.trial() && !v.drain.said {
 			return v
 		}
 	}
--- a/internal/choice/cold_test.go
+++ b/internal/choice/cold_test.go
@@ -209,6 +209,9 @@
 	})
 })
 
+// drainTrial is when a word of draining is checked.
+const drainTrial = 1500 * time.Millisecond
+
 var _ = Describe("probes", func() {
 	It("go only where nothing else tells, within the budget", func() {
 		b := newBench(1, 1)
@@ -223,7 +226,7 @@
 		none()
 		b.good(b.choose(), drains)
 		none()
-		b.pass(2 * time.Second)
+		b.pass(drainTrial)
 		b.good(b.choose(), drains)
 		none()
 		b.pass(3 * time.Second)
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -52,7 +52,8 @@
 func (s *Set) special() bool {
 	found := false
 	for _, v := range s.servers {
-		if v.start.phase != phaseWarm || v.health.trial() {
+		v.undrain(s.now)
+		if v.start.phase != phaseWarm || v.health.trial() || v.drain.said {
 			found = true
 			v.start.earn(len(s.servers))
 		}
--- a/internal/choice/news.go
+++ b/internal/choice/news.go
@@ -135,6 +135,9 @@
 			v.drain.hear(at)
 		}
 	case StateBack:
+		if v.drain.at.Before(at) {
+			v.drain = drain{}
+		}
 		if v.start.bounded() && v.start.since.Before(at) {
 			s.rise(v)
 			v.health.until = s.now
--- a/internal/choice/outcome.go
+++ b/internal/choice/outcome.go
@@ -94,7 +94,11 @@
 
 // report takes a load report that came on an answer.
 func (s *Set) report(v *server, r *load.Report) {
+	back := v.drain.said && !r.Draining
 	v.take(s.now, r)
+	if back {
+		s.tell(v, StateBack)
+	}
 	s.mean.add(float64(r.Running + r.Queued))
 	if r.Cold {
 		v.start.cold(s.now)
--- a/internal/choice/server.go
+++ b/internal/choice/server.go
@@ -51,45 +51,6 @@
 	distance time.Duration
 }
 
-// Times for which a server's word that it drains counts. A first word may be
-// wrong, and is checked by one request.
-const (
-	drainFirst = 2 * time.Second
-	drainAgain = time.Minute
-	drainMost  = 10 * time.Minute
-)
-
-// drain is what a server says of leaving.
-type drain struct {
-	at  time.Time // when it was last said
-	row int       // how often in a row after the time was over
-}
-
-// hear takes the server's word at a time.
-func (d *drain) hear(at time.Time) {
-	if d.row == 0 || at.Sub(d.at) >= d.length() {
-		d.row++
-	}
-	d.at = at
-}
-
-func (d *drain) length() time.Duration {
-	switch d.row {
-	case 0:
-		return 0
-	case 1:
-		return drainFirst
-	case 2:
-		return drainAgain
-	}
-	return drainMost
-}
-
-// drains says whether the server said of itself that it wants no new work.
-func (s *server) drains(now time.Time) bool {
-	return s.drain.row > 0 && now.Sub(s.drain.at) < s.drain.length()
-}
-
 // take keeps a report that came now.
 func (s *server) take(now time.Time, r *load.Report) {
 	s.report = *r
