--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -52,7 +52,8 @@
 func (s *Set) special() bool {
 	found := false
 	for _, v := range s.servers {
-		if v.start.phase != phaseWarm || v.health.trial() {
+		v.undrain(s.now)
+		if v.start.phase != phaseWarm || v.health.trial() || v.drain.said {
 			found = true
 			v.start.earn(len(s.servers))
 		}
@@ -148,7 +149,7 @@
 // expected to end.
 func (s *Set) expected(p Informed, v *server) float64 {
 	f := v.slowness(s.now, s.fade(p.Slow))
-	f += p.Late * v.calls.lateness(s.now, s.usual.late)
+	f += p.Late * v.calls.lateness(s.now)
 	f += evidenceFactor * v.health.weight(s.now)
 	if v.missing && s.now.Sub(v.heard) > missingKnown {
 		f *= missingFactor
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -13,6 +13,9 @@
 type Set struct {
 	// Service is the name of the service.
 	Service string
+	// New says that the service came into the table while this VM served, so
+	// that its first servers are taken as cold too.
+	New bool
 	// Policy picks the server.
 	Policy Policy
 	// Rand is the source of chance; nil for a random one.
@@ -38,6 +41,7 @@
 	servers  []*server
 	centres  []*centre
 	usual    latencies
+	kinds    map[string]*latencies
 	mean     mean // requests at a server, by all reports
 	ratios   mean // latencies in units of what was expected
 	next     int
@@ -63,7 +67,8 @@
 
 // Update sets the servers of the service. A server that a former call did not
 // name, or that comes back into service, is taken as cold; those of the first
-// call are not.
+// call are not, unless New. A server that was leaving and is then missing from
+// the list is still leaving.
 func (s *Set) Update(now time.Time, l Limits, ss []Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,8 +87,9 @@
 		if n == nil {
 			n = &server{address: v.Address, slow: 1}
 		}
+		v.Leaving = v.Leaving || n.leaving && v.Missing
 		back := n.out && !v.Out || n.leaving && !v.Leaving
-		if s.started && (known[v.Address] == nil || back) {
+		if (s.started || s.New) && (known[v.Address] == nil || back) {
 			s.renew(n)
 		}
 		n.centre = s.centre(v.DataCentre)
@@ -125,9 +131,10 @@
 	}
 }
 
-// Choose picks a server that is not in tried. It returns false when there is
-// none that may get the request.
-func (s *Set) Choose(now time.Time, tried []netip.AddrPort) (Call, bool) {
+// Choose picks a server that is not in tried for a request of a kind; kinds
+// differ in how long they take. It returns false when there is none that may get
+// the request.
+func (s *Set) Choose(now time.Time, kind string, tried []netip.AddrPort) (Call, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begin(now)
@@ -136,7 +143,9 @@
 		s.none++
 		return nil, false
 	}
-	return s.call(v), true
+	c := s.call(v)
+	c.kind = s.kind(kind)
+	return c, true
 }
 
 func (s *Set) pick(tried []netip.AddrPort) *server {
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -63,7 +63,15 @@
 			return nil, false
 		}
 	}
-	return v.set.Choose(now, tried)
+	return v.set.Choose(now, kind(x), tried)
+}
+
+// kind returns the name of the kind of request.
+func kind(x *exchange.Exchange) string {
+	if x.Route == nil {
+		return ""
+	}
+	return x.Route.Kind
 }
 
 func (s *Services) find(name string) *service {
@@ -103,7 +111,7 @@
 	_ = level.Info(s.Logger).Log("msg", "Choosing servers.", "service", name)
 	v := &service{cold: &choice.Local{}, probes: &choice.Local{Together: true}}
 	v.gate = &fair.Gate{}
-	v.set = &choice.Set{Service: name, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake}
+	v.set = &choice.Set{Service: name, New: s.services.Load() != nil, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake}
 	if s.Cold != nil {
 		v.set.Cold = s.Cold(name)
 	}
