Count lately forgotten VMs in a majority; start without a wait for no loans

And a fleet that started together waited for loans that nobody can hold. Change: VMs forgotten within Outage still count in a majority; a VM tells others of waits for ended VMs instead of every starting VM waiting.

--- a/internal/member/model_test.go
+++ b/internal/member/model_test.go
@@ -47,6 +47,8 @@
 	// process may still hold.
 	endedRunning float64
 	share        member.Share
+	// heard holds the processes that it got a message of.
+	heard map[member.ID]bool
 }
 
 type part struct {
@@ -135,6 +137,7 @@
 func (w *world) start(a netip.AddrPort, side int) *vm {
 	v := &vm{
 		id: member.ID{Address: a, Incarnation: uint64(w.now/time.Millisecond) + 1}, side: side, running: true,
+		heard: map[member.ID]bool{},
 		rate:  0.99 + 0.02*w.r.Float64(),
 		clock: time.Duration(w.r.Int64N(int64(time.Hour))),
 	}
@@ -246,6 +249,7 @@
 		if w.cut != nil && w.cut(w.vms[i], t) {
 			continue
 		}
+		t.heard[m.from] = true
 		w.send(t, t.node.Receive(t.local(), m.from, m.m))
 	}
 }
@@ -337,7 +341,9 @@
 	w.sum, w.running, w.lent = 0, 0, 0
 	for _, v := range w.vms {
 		w.look(v)
-		w.lent += v.largest()
+		if v.running || w.heard(v) {
+			w.lent += v.largest()
+		}
 		if v.running && v.share.Usable && !w.paused(v) {
 			w.sum += 1 / float64(v.share.Count)
 		}
@@ -432,3 +438,9 @@
 	}
 	w.opened = rest
 }
+
+// heard tells whether a running VM got a message of v, and so may have borrowed
+// from it.
+func (w *world) heard(v *vm) bool {
+	return slices.ContainsFunc(w.vms, func(o *vm) bool { return o.running && o.heard[v.id] })
+}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -93,6 +93,9 @@
 	gone map[ID]time.Time
 	// ghosts holds processes counted for running requests only, and until when.
 	ghosts map[ID]time.Time
+	// missed holds processes that were forgotten, and until when a majority
+	// still counts them.
+	missed map[ID]time.Time
 	list   list
 
 	// standing says that this VM is known to all that use a share. It is kept
@@ -106,13 +109,16 @@
 	// useFrom and runningFrom are from when the own part may be used, as far
 	// as ended processes matter.
 	useFrom, runningFrom time.Time
-	used                 time.Time
-	leaving              bool
-	released             time.Time
-	share                Share
-	selfHash             uint64
-	digest               uint64
-	outrun               uint64
+	// sponsored is until when a VM with standing may have given loans or tokens
+	// to this one.
+	sponsoredUntil time.Time
+	used           time.Time
+	leaving        bool
+	released       time.Time
+	share          Share
+	selfHash       uint64
+	digest         uint64
+	outrun         uint64
 }
 
 // list is the last own read of the platform's list.
@@ -193,12 +199,11 @@
 	if !n.started.IsZero() {
 		return
 	}
-	n.started, n.lostAt = now, now
-	// Loans of an earlier process at this address may still run.
-	n.useFrom = now.Add(n.longer(n.LoanMax))
+	n.started = now
 	n.peers = map[netip.AddrPort]*peer{}
 	n.gone = map[ID]time.Time{}
 	n.ghosts = map[ID]time.Time{}
+	n.missed = map[ID]time.Time{}
 	n.selfHash = hash(n.Self)
 	n.digest = n.selfHash
 }
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -42,6 +42,7 @@
 	if _, ok := n.gone[id]; ok || id.Incarnation == 0 {
 		return nil
 	}
+	delete(n.missed, id)
 	p := n.peers[id.Address]
 	if p == nil {
 		p = &peer{id: id, known: now}
@@ -243,7 +244,7 @@
 		Probe:       m.GetProbe(),
 		Digest:      n.digest,
 		Standing:    n.standing,
-		Wait:        until(now, p.loanFree),
+		Wait:        until(now, latest(p.loanFree, n.useFrom)),
 		RunningWait: until(now, p.runningFree),
 	}
 	if m.GetDigest() != n.digest && m.GetSeen() != n.digest {
--- a/internal/member/settle.go
+++ b/internal/member/settle.go
@@ -45,10 +45,16 @@
 		}
 	}
 	for id, t := range n.gone {
+		delete(n.missed, id)
 		if !now.Before(t) {
 			delete(n.gone, id)
 		}
 	}
+	for id, t := range n.missed {
+		if !now.Before(t) {
+			delete(n.missed, id)
+		}
+	}
 }
 
 // idle tells whether a VM that is not counted can be left out of what is known.
@@ -76,6 +82,7 @@
 		if p.counted && n.forgettable(now, p) {
 			n.forgot = n.forgot || !n.standing
 			n.inherit(p)
+			n.missed[p.id] = now.Add(n.longer(n.Outage))
 			n.haunt(now, p.id, now.Add(n.longer(n.RunningMax)))
 			n.remove(p)
 		}
@@ -116,8 +123,8 @@
 	}
 }
 
-// majority tells whether more than half of the counted VMs, or half with the
-// lowest address, have a running promise here.
+// majority tells whether more than half of the VMs counted or forgotten lately,
+// or half with the lowest address, have a running promise here.
 func (n *Node) majority(now time.Time) bool {
 	return now.Before(n.majorityUntil(now))
 }
@@ -133,6 +140,12 @@
 			low, lowHeld = p.id, p.held
 		}
 	}
+	for id := range n.missed {
+		ts = append(ts, time.Time{})
+		if id.Compare(low) < 0 {
+			low, lowHeld = id, time.Time{}
+		}
+	}
 	slices.SortFunc(ts, func(a, b time.Time) int { return b.Compare(a) })
 	far := now.Add(n.shorter(n.Promise))
 	total := len(ts) + 1
@@ -226,12 +239,7 @@
 	if !now.Before(promised) {
 		return
 	}
-	switch {
-	case n.sponsored(now), n.unchanged(now):
-	case n.founding(now):
-		// Loans of VMs that nobody here knew may still run.
-		n.useFrom = latest(n.useFrom, now.Add(n.longer(n.LoanMax)))
-	default:
+	if !n.sponsored(now) && !n.founding(now) && !n.unchanged(now) {
 		return
 	}
 	n.standing, n.stood, n.until = true, true, promised
