--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -283,7 +283,7 @@
 		return
 	}
 	i, _ := slices.BinarySearchFunc(n.order, p, comparePeers)
-	n.order = slices.Insert(n.order, i, p)
+	n.order = slices.Insert(slices.Clone(n.order), i, p)
 }
 
 // remove ends knowing a process.
--- a/internal/member/schedule_test.go
+++ b/internal/member/schedule_test.go
@@ -78,7 +78,9 @@
 		w.hide(v)
 		fallthrough
 	case pause, freeze:
-		v.pausedAt, v.pausedTo, v.frozen = w.now, w.now+f.Length, f.Kind == freeze
+		if !w.paused(v) {
+			v.pausedAt, v.pausedTo, v.frozen = w.now, w.now+f.Length, f.Kind == freeze
+		}
 	case cutSides, cutFalse:
 		w.cutOff(v.side, f.Kind == cutFalse)
 	case cutOne:
--- a/internal/member/settle.go
+++ b/internal/member/settle.go
@@ -189,6 +189,7 @@
 			continue
 		}
 		marked[p.seen] = true
+		n.introduce(now, p.view)
 		for _, id := range p.view {
 			n.mark(id)
 		}
