--- a/lentilbend/internal/fleet/control_test.go
+++ b/lentilbend/internal/fleet/control_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"syscall"
 	"testing"
@@ -20,6 +19,9 @@
 	"lentilbend.example/lentilbend/internal/settings"
 )
 
+// firstPort is the first VM's port.
+const firstPort = 20100
+
 // measured is how long one benchmark measures.
 const measured = 14 * time.Second
 
@@ -35,13 +37,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var vms []member.VM
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		vms = append(vms, member.VM{Address: l.Addr().(*net.TCPAddr).AddrPort()})
-		_ = l.Close()
+	for i := range n {
+		vms = append(vms, member.VM{Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+i))})
 	}
 	var hubs []*peer.Hub
 	var fleets []*fleet.Fleet
--- a/lentilbend/internal/peer/hub_test.go
+++ b/lentilbend/internal/peer/hub_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -127,11 +128,21 @@
 	}
 }
 
+// port is the last port that free gave out. Ports from here are below those
+// that the system gives to outgoing connections.
+var port = 20200
+
+// free returns an address that nobody listens at.
 func free() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	for ; ; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		port++
+		return l.Addr().(*net.TCPAddr).AddrPort()
+	}
 }
 
 // pair returns two free addresses, the lower first.
