Use no share between waking and the first tick

Cause: after a suspension, the first message refreshed the runner's state and so hid the jump of the wall clock until the timer's next tick; and Share took the runner's lock, under which the limits are asked. Change: each step looks for the jump first, and Share only reads. The test fails without the look (tried).

--- a/lentilbend/internal/fleet/fleet.go
+++ b/lentilbend/internal/fleet/fleet.go
@@ -45,6 +45,9 @@
 	// Seeds returns addresses to ask besides those of own list reads; nil
 	// gives none.
 	Seeds func() []netip.AddrPort
+	// Wall returns the wall clock's time at now; nil takes it from now. Tests
+	// replace it.
+	Wall func(now time.Time) time.Time
 
 	mu     sync.Mutex
 	state  atomic.Pointer[state]
@@ -61,6 +64,8 @@
 	allowed map[netip.Addr]bool
 	// made is when members and allowed were worked out, at when the rest was.
 	made, at time.Time
+	// wall is the wall clock's time at at.
+	wall time.Time
 }
 
 // Run subscribes to ticks, pauses and the planned stop until ctx ends.
@@ -69,7 +74,7 @@
 	if err := event.Subscribe(ctx, f.Bus, func(event.Tick) { f.tick(time.Now()) }); err != nil {
 		return err
 	}
-	if err := event.Subscribe(ctx, f.Bus, func(event.Pause) { f.pause(time.Now()) }); err != nil {
+	if err := event.Subscribe(ctx, f.Bus, func(event.Pause) { f.pause() }); err != nil {
 		return err
 	}
 	if err := event.Subscribe(ctx, f.Bus, func(event.Stopping) { f.do(f.Node.Leave) }); err != nil {
@@ -80,9 +85,6 @@
 }
 
 func (f *Fleet) tick(now time.Time) {
-	if f.jumped(now) {
-		f.pause(now)
-	}
 	f.do(f.Node.Tick)
 	if now.Sub(f.seeded) < seedEvery {
 		return
@@ -93,15 +95,20 @@
 	}
 }
 
-func (f *Fleet) pause(now time.Time) {
-	f.pauses.Add(1)
-	_ = level.Warn(f.Logger).Log("msg", "Process was paused, promises are asked for again.")
+func (f *Fleet) pause() {
 	f.do(func(now time.Time) []member.Send {
-		f.Node.Pause(now)
+		f.doubt(now)
 		return f.Node.Tick(now)
 	})
 }
 
+// doubt puts all promises in doubt; mu is held.
+func (f *Fleet) doubt(now time.Time) {
+	f.pauses.Add(1)
+	_ = level.Warn(f.Logger).Log("msg", "Process was paused, promises are asked for again.")
+	f.Node.Pause(now)
+}
+
 // jumped tells whether the wall clock moved against the monotonic clock since
 // the last change, as it does while a VM is suspended.
 func (f *Fleet) jumped(now time.Time) bool {
@@ -109,10 +116,17 @@
 	if s == nil {
 		return false
 	}
-	d := now.Round(0).Sub(s.at.Round(0)) - now.Sub(s.at)
+	d := f.wall(now).Sub(s.wall) - now.Sub(s.at)
 	return d.Abs() >= jump
 }
 
+func (f *Fleet) wall(now time.Time) time.Time {
+	if f.Wall != nil {
+		return f.Wall(now)
+	}
+	return now.Round(0)
+}
+
 // Handle takes the membership messages of a frame.
 func (f *Fleet) Handle(now time.Time, from member.ID, m *peerpb.Frame) {
 	if h := m.GetHello(); h != nil {
@@ -133,6 +147,9 @@
 func (f *Fleet) do(step func(time.Time) []member.Send) {
 	f.mu.Lock()
 	now := time.Now()
+	if f.jumped(now) {
+		f.doubt(now)
+	}
 	ss := step(now)
 	to := f.Node.Addresses()
 	changed := !slices.Equal(to, f.to)
@@ -151,7 +168,7 @@
 // costly is worked out anew only when it changed or got old.
 func (f *Fleet) publish(now time.Time, changed bool) {
 	o := f.state.Load()
-	s := &state{share: f.Node.Latest(), at: now}
+	s := &state{share: f.Node.Latest(), at: now, wall: f.wall(now)}
 	if o != nil && !changed && o.share.Epoch == s.share.Epoch && now.Sub(o.made) < refresh {
 		s.members, s.allowed, s.made = o.members, o.allowed, o.made
 	} else {
@@ -197,12 +214,8 @@
 	if s == nil {
 		return member.Share{Count: 1, RunningCount: 1}
 	}
-	if f.jumped(now) {
-		f.pause(now)
-		s = f.state.Load()
-	}
 	h := s.share
-	if !now.Before(h.Until) {
+	if f.jumped(now) || !now.Before(h.Until) {
 		h.Usable, h.RunningUsable = false, false
 	}
 	return h
--- a/lentilbend/internal/fleet/fleet_test.go
+++ b/lentilbend/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -49,7 +50,20 @@
 	other = member.ID{Address: netip.MustParseAddrPort("10.0.0.2:1"), Incarnation: 6}
 )
 
-func newFleet() (*fleet.Fleet, *transport) {
+// promise answers all requests to the other VM.
+func promise(f *fleet.Fleet) {
+	t := f.Transport.(*transport)
+	for _, m := range t.messages() {
+		if m.GetRequest() > 0 {
+			a := &peerpb.MemberMessage{
+				Request: m.GetRequest(), Grant: m.GetRequest(), Probe: m.GetProbe(), Digest: 1, HasView: true,
+			}
+			f.Handle(time.Now(), other, &peerpb.Frame{Member: []*peerpb.MemberMessage{a}})
+		}
+	}
+}
+
+func newFleet(change ...func(*fleet.Fleet)) (*fleet.Fleet, *transport) {
 	t := &transport{}
 	f := &fleet.Fleet{
 		Node: &member.Node{
@@ -58,6 +72,9 @@
 		},
 		Transport: t, Bus: event.NewBus(), Logger: log.NewNopLogger(),
 	}
+	for _, c := range change {
+		c(f)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	go func() {
@@ -84,15 +101,20 @@
 		Expect(t.messages()).To(ContainElement(HaveField("Grant", uint64(3))))
 	})
 
-	It("uses nothing when the wall clock shows that the VM was suspended", func() {
-		f, _ := newFleet()
-		now := time.Now()
-		m := &peerpb.MemberMessage{Request: 3}
-		f.Handle(now, other, &peerpb.Frame{Member: []*peerpb.MemberMessage{m}})
-		before := f.Dump().(member.Dump)
-		Expect(before.Peers).To(HaveLen(1))
-		// Round drops the monotonic reading, as if only it had stood still.
-		Expect(f.Share(now.Add(time.Minute).Round(0)).Usable).To(BeFalse())
+	It("uses nothing once the wall clock shows that the VM was suspended", func() {
+		var suspended atomic.Int64
+		f, _ := newFleet(func(f *fleet.Fleet) {
+			f.Wall = func(now time.Time) time.Time { return now.Round(0).Add(time.Duration(suspended.Load())) }
+		})
+		Eventually(func() bool {
+			f.List(time.Now(), 1, []member.VM{{Address: self.Address}, {Address: other.Address}})
+			promise(f)
+			return f.Share(time.Now()).Usable
+		}, 30*time.Second).Should(BeTrue())
+		suspended.Store(int64(time.Minute))
+		Expect(f.Share(time.Now()).Usable).To(BeFalse())
+		f.List(time.Now(), 1, nil)
+		Expect(f.Share(time.Now()).Usable).To(BeFalse())
 	})
 
 	It("releases the share when a planned stop begins", func() {
