--- a/lentilbend/internal/peer/hub.go
+++ b/lentilbend/internal/peer/hub.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// Run listens at Settings.Address and keeps the streams until ctx ends.
+// Run listens for peers and keeps the streams until ctx ends.
 func (h *Hub) Run(ctx context.Context) error {
 	if h.Times == (Times{}) {
 		h.Times = DefaultTimes()
@@ -100,7 +100,7 @@
 	if h.credentials, err = transport(h.Settings); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", h.Settings.Address.String())
+	l, err := net.Listen("tcp", h.listen().String())
 	if err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
@@ -119,6 +119,14 @@
 	return nil
 }
 
+// listen returns the address to listen on.
+func (h *Hub) listen() netip.AddrPort {
+	if h.Settings.Listen.IsValid() {
+		return h.Settings.Listen
+	}
+	return h.Settings.Address
+}
+
 // start begins to dial the peers given before Run.
 func (h *Hub) start(ctx context.Context) {
 	h.mu.Lock()
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -46,6 +46,9 @@
 // Peer holds the address that other entry VMs reach.
 type Peer struct {
 	Address netip.AddrPort
+	// Listen is the address to listen on when it is not Address, such as
+	// behind an address translation.
+	Listen netip.AddrPort `document:"optional"`
 	// Certificate, Key and Authority turn on mutual TLS; all are PEM files.
 	Certificate string `document:"optional"`
 	Key         string `document:"optional"`
--- a/standin/internal/fleet/block.go
+++ b/standin/internal/fleet/block.go
@@ -17,6 +17,7 @@
 	callerPort   = 8080
 	operatorPort = 9080
 	peerPort     = 7070
+	listenPort   = 7071
 	platformPort = 7000
 	backendPort  = 10000
 	lockPort     = 24000
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -18,7 +18,6 @@
 
 	"lentilbend.example/standin/internal/backend"
 	"lentilbend.example/standin/internal/history"
-	"lentilbend.example/standin/internal/load"
 	"lentilbend.example/standin/internal/platform"
 )
 
@@ -45,6 +44,9 @@
 	Settings string
 	// Environment is added to the environment of each entry VM.
 	Environment []string
+	// Relays puts a relay before the peer address of each entry VM, so that
+	// pairs can be cut.
+	Relays bool
 	// ListLag is how old the platform's VM list is.
 	ListLag time.Duration
 	// Seed makes times of work repeatable.
@@ -60,6 +62,7 @@
 	temporary  bool
 	start      time.Time
 	starter    *starter
+	relays     []*relay
 
 	mu        sync.Mutex
 	published map[string]string
@@ -77,6 +80,9 @@
 	if err := f.startBackends(); err != nil {
 		return err
 	}
+	if err := f.startRelays(); err != nil {
+		return err
+	}
 	for i := range f.Deployment.Entries {
 		if err := f.startEntry(i); err != nil {
 			return err
@@ -209,6 +215,9 @@
 	for _, e := range f.Entries {
 		e.end()
 	}
+	for _, r := range f.relays {
+		r.close()
+	}
 	for _, b := range f.Backends {
 		b.Close()
 	}
@@ -226,45 +235,6 @@
 	}
 }
 
-// Generator returns a load generator towards all entry VMs; rate, kinds and
-// times are still to be set.
-func (f *Fleet) Generator() *load.Generator {
-	g := &load.Generator{
-		Kinds:    f.Deployment.Kinds(),
-		Balance:  200 * time.Millisecond,
-		Seed:     f.Seed,
-		Recorder: f.Recorder,
-	}
-	for _, e := range f.Entries {
-		g.Entries = append(g.Entries, load.Entry{Caller: e.Caller, Operator: e.Operator})
-	}
-	for _, w := range f.Deployment.Workspaces {
-		g.Workspaces = append(g.Workspaces, load.Workspace{Name: w.Name, Key: w.Key, Share: w.Share})
-	}
-	return g
-}
-
-// History returns what was recorded, with the counts of the backend servers.
-func (f *Fleet) History() *history.History {
-	h := f.Recorder.History()
-	h.Executions = f.executions.Executions(0)
-	h.Start, h.End = f.start, time.Now()
-	for _, b := range f.Backends {
-		h.Servers = append(h.Servers, history.ServerCounts{Address: b.Address, Service: b.Service, Counts: b.Counts()})
-	}
-	for _, s := range f.Deployment.Services {
-		h.ProbeRates = append(h.ProbeRates, history.ProbeRate{
-			Service: s.Name, Rate: s.ProbeRate, Burst: max(1, s.ProbeRate),
-		})
-		for _, r := range s.Rows {
-			h.Limits = append(h.Limits, history.Limit{
-				Workspace: r.Workspace, Service: s.Name, Rate: r.Rate, Burst: r.Burst,
-			})
-		}
-	}
-	return h
-}
-
 func waitListening(a netip.AddrPort) error {
 	until := time.Now().Add(startTimeout)
 	for {
--- a/standin/internal/fleet/process.go
+++ b/standin/internal/fleet/process.go
@@ -87,6 +87,7 @@
 
 [Peer]
 Address = %q
+Listen = %q
 Seeds = [%s]
 ListAge = "5s"
 
@@ -96,7 +97,7 @@
 [Stop]
 Wait = "1s"
 
-%s`, f.Deployment.Entries[e.Index], e.Caller, e.Operator, e.Peer, f.seeds(), f.platformAddress(e.Index), f.Settings)
+%s`, f.Deployment.Entries[e.Index], e.Caller, e.Operator, e.Peer, f.peerListen(e.Index), f.seeds(), f.platformAddress(e.Index), f.Settings)
 }
 
 // seeds returns the peer addresses of all entry VMs as elements of an array.
--- a/standin/internal/load/call.go
+++ b/standin/internal/load/call.go
@@ -29,7 +29,8 @@
 // maxAnswer bounds what is read of one answer, in bytes.
 const maxAnswer = 64 << 20
 
-// once is a body that the client cannot send twice.
+// once is a body, maybe empty, that the client cannot send twice, so that it
+// repeats no call by itself.
 type once struct {
 	io.Reader
 }
@@ -84,10 +85,8 @@
 	if err != nil {
 		return history.Failed{Text: err.Error(), NotSent: true}
 	}
-	if len(b) > 0 {
-		r.Body = io.NopCloser(once{bytes.NewReader(b)})
-		r.ContentLength = int64(len(b))
-	}
+	r.Body = io.NopCloser(once{bytes.NewReader(b)})
+	r.ContentLength = int64(len(b))
 	r.Header.Set(backend.IDHeader, c.ID)
 	if a.kind.AnswerSize > 0 {
 		r.Header.Set(backend.SizeHeader, strconv.Itoa(a.kind.AnswerSize))
--- a/standin/internal/load/load_test.go
+++ b/standin/internal/load/load_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -87,6 +88,25 @@
 		}
 	})
 
+	ginkgo.It("never repeats a call by itself", func() {
+		var mu sync.Mutex
+		seen := map[string]int{}
+		handler = func(_ http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			seen[r.Header.Get(backend.IDHeader)]++
+			n := len(seen)
+			mu.Unlock()
+			if n > 5 {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		g.Kinds[0].Method, g.Kinds[0].BodySize = "GET", 0
+		outcomes()
+		for _, n := range seen {
+			gomega.Expect(n).To(gomega.Equal(1))
+		}
+	})
+
 	ginkgo.It("draws the same schedule from the same seed", func() {
 		g.Rate = 1e6
 		g.For = time.Millisecond
--- a/standin/internal/scenario/fleet.go
+++ b/standin/internal/scenario/fleet.go
@@ -128,7 +128,7 @@
 		return err
 	}
 	s.deployment.AddEntries(n)
-	s.fleet = &fleet.Fleet{Bin: s.bin, Deployment: s.deployment, ListLag: s.lag, Seed: 1}
+	s.fleet = &fleet.Fleet{Bin: s.bin, Deployment: s.deployment, ListLag: s.lag, Seed: 1, Relays: true}
 	if err := s.fleet.Start(s.ctx); err != nil {
 		return err
 	}
@@ -229,3 +229,31 @@
 	}
 	return s.fleet.WaitReady(s.ctx)
 }
+
+// cut loses all that goes between an entry VM and others: cut N N....
+func cut(s *state, args []string) error {
+	return s.setCut(args, true)
+}
+
+// heal ends a cut; what was on its way comes late: heal N N....
+func heal(s *state, args []string) error {
+	return s.setCut(args, false)
+}
+
+func (s *state) setCut(args []string, cut bool) error {
+	if len(args) < 2 {
+		return errors.New("usage: cut|heal ENTRY-VM OTHER-ENTRY-VMS")
+	}
+	a, err := s.entry(args[:1])
+	if err != nil {
+		return err
+	}
+	for i := range args[1:] {
+		b, err := s.entry(args[i+1 : i+2])
+		if err != nil {
+			return err
+		}
+		s.fleet.Cut(a, b, cut)
+	}
+	return nil
+}
--- a/standin/internal/scenario/scenario.go
+++ b/standin/internal/scenario/scenario.go
@@ -77,6 +77,8 @@
 			"edit":     command(edit),
 			"mend":     command(mend),
 			"vm":       command(setVM),
+			"cut":      command(cut),
+			"heal":     command(heal),
 			"crash":    command(crash),
 			"pause":    command(pause),
 			"resume":   command(resume),
