--- a/standin/internal/measure/faults.go
+++ b/standin/internal/measure/faults.go
@@ -7,6 +7,7 @@
 	"lentilbend.example/standin/internal/backend"
 	"lentilbend.example/standin/internal/fleet"
 	"lentilbend.example/standin/internal/history"
+	"lentilbend.example/standin/internal/load"
 )
 
 // Sizes of the faults measurement.
@@ -47,6 +48,7 @@
 	NotRunButRan  int
 	MixedUp       int
 	CutUnnoticed  int
+	Refusals      []load.Refusal `toml:",omitempty"`
 }
 
 // Targets are zero for all that must not happen.
@@ -102,13 +104,16 @@
 	defer cancel()
 	failed := make(chan error, 1)
 	go func() { failed <- k.run(during, f) }()
-	if _, err := g.Run(ctx); err != nil {
+	l, err := g.Run(ctx)
+	if err != nil {
 		return faultCounts{}, err
 	}
 	if err := <-failed; err != nil {
 		return faultCounts{}, err
 	}
-	return countFaults(k.name, f.History())
+	c, err := countFaults(k.name, f.History())
+	c.Refusals = l.Refusals
+	return c, err
 }
 
 func countFaults(name string, h *history.History) (faultCounts, error) {
--- a/standin/internal/measure/latency.go
+++ b/standin/internal/measure/latency.go
@@ -37,6 +37,7 @@
 	// NotServed counts the calls through the entry VM without a good answer.
 	NotServed uint64
 	Calls     uint64
+	Refusals  []load.Refusal `toml:",omitempty"`
 	// ProcessorPerCall is the entry VM's processor time, in microseconds.
 	ProcessorPerCall float64
 
@@ -165,6 +166,7 @@
 	}
 	r.Calls += through.Total.Calls
 	r.NotServed += through.Total.Calls - through.Total.Served
+	r.Refusals = append(r.Refusals, through.Refusals...)
 }
 
 func (r *latencyResult) finish(processor time.Duration) {
