--- a/standin/internal/fleet/operate.go
+++ b/standin/internal/fleet/operate.go
@@ -120,13 +120,16 @@
 	return time.Duration(u+k) * clockTick, nil
 }
 
+// shownLog is how much of a log is shown, in bytes.
+const shownLog = 4000
+
 // LastLog returns the end of the process's log.
 func (e *Entry) LastLog() string {
 	b, err := os.ReadFile(e.fleet.logFile(e.Index))
 	if err != nil {
 		return err.Error()
 	}
-	return string(b[max(0, len(b)-1000):])
+	return string(b[max(0, len(b)-shownLog):])
 }
 
 // RevisionMetric tells the revision of the table that is in force.
