--- a/internal/limit/virtual/node.go
+++ b/internal/limit/virtual/node.go
@@ -185,3 +185,8 @@
 	}
 	return ids
 }
+
+// DumpMembers returns the state of the VM's membership.
+func (v *VM) DumpMembers() any {
+	return v.node.Dump()
+}
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -250,12 +250,20 @@
 		o.HasView = true
 		o.View = n.view(now, p.id)
 	}
-	if p.next.Sub(now) < n.Promise/6 && n.probing(now) == m.GetProbe() {
+	if p.next.Sub(now) < n.Promise/6 && n.probing(now) == m.GetProbe() && !p.underway(now) {
 		n.ask(now, p, o)
 	}
 	return Send{To: p.id, Message: o}
 }
 
+// underway tells whether a request was sent so lately that its answer may still
+// come. Without this, many messages that come at once, as after a pause, would
+// each start an exchange that pushes the requests of the others out.
+func (p *peer) underway(now time.Time) bool {
+	k := len(p.pending)
+	return k > 0 && now.Sub(p.pending[k-1].sent) < retry/2
+}
+
 // promise counts a VM from now on.
 func (n *Node) promise(now time.Time, p *peer, m *peerpb.MemberMessage) {
 	n.count(now, p)
