Serve newcomers without promises, and move homes away from silent VMs

Cause: a VM that nobody counts yet found no home and refused all its requests; a silent VM stayed home for as long as its promise ran; a new home waited for the next renewal. Change: a VM without a share asks whoever sends renewals, also when it is not counted; a home must have sent a renewal within two and a half periods; a new home is renewed to at once. LoanMax is 5 s.

--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -126,6 +126,7 @@
 		b.until(c.until)
 	}
 	b.clip()
+	b.elect()
 }
 
 func (b *bucket) until(t time.Time) {
--- a/internal/limit/fleet.go
+++ b/internal/limit/fleet.go
@@ -56,6 +56,9 @@
 	// notBefore is the earliest own time that loans may count from.
 	notBefore uint64
 	size      float64
+	// candidates are the other VMs that may be homes, as of placed.
+	candidates []member.ID
+	placed     time.Time
 }
 
 // index finds buckets.
@@ -217,12 +220,7 @@
 		if m.ID == f.Self {
 			continue
 		}
-		p := f.peers[m.ID]
-		if p == nil {
-			p = newPeer(m.ID)
-			f.peers[m.ID] = p
-		}
-		p.seen = now
+		f.peer(now, m.ID)
 	}
 	for id, p := range f.peers {
 		if now.Sub(p.seen) > 2*LoanMax && !f.isMember(id) {
@@ -231,6 +229,18 @@
 	}
 }
 
+// peer returns the peer with the given ID, which it makes known if need be.
+func (f *Fleet) peer(now time.Time, id member.ID) *peer {
+	p := f.peers[id]
+	if p == nil {
+		p = newPeer(id)
+		p.met = now
+		f.peers[id] = p
+	}
+	p.seen = now
+	return p
+}
+
 func (f *Fleet) isMember(id member.ID) bool {
 	return slices.ContainsFunc(f.members, func(m member.Member) bool { return m.ID == id })
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -20,7 +20,7 @@
 
 // LoanMax is the longest time for which a loan or a token of a rate may be
 // used after the lender's share changed.
-const LoanMax = 8 * time.Second
+const LoanMax = 5 * time.Second
 
 // Kind tells what a limit counts.
 type Kind int
--- a/internal/limit/peer.go
+++ b/internal/limit/peer.go
@@ -19,13 +19,16 @@
 	sent uint64
 
 	// The rest is guarded by the fleet's mu.
-	// seen is when the peer was last a member.
+	// met is when the peer became known, seen when it last was a member or heard.
+	met  time.Time
 	seen time.Time
 	// echo is the newest Sent of the peer, heard when it came.
 	echo  uint64
 	heard time.Time
 	// due is when the next renewal goes out.
 	due time.Time
+	// hastened is when a renewal was last sent before its time.
+	hastened time.Time
 	// borrowed holds the serials of the loans that the peer's last renewal
 	// named, credited and ended those whose level came and that went back.
 	borrowed map[uint32]uint32
--- a/internal/limit/renew.go
+++ b/internal/limit/renew.go
@@ -11,10 +11,12 @@
 // Times of renewals.
 const (
 	minPeriod = time.Second
-	maxPeriod = 2500 * time.Millisecond
+	maxPeriod = 1600 * time.Millisecond
 	// loanPeriods is the length of a loan in periods.
 	loanPeriods = 3
 	minLoan     = 500 * time.Millisecond
+	// hastenEvery is the least time between renewals before their time.
+	hastenEvery = 500 * time.Millisecond
 )
 
 // period is the time between renewals to one peer: longer when many peers share
@@ -35,7 +37,7 @@
 func (f *Fleet) renew(now time.Time) {
 	due := map[member.ID]*peer{}
 	for id, p := range f.peers {
-		if !now.Before(p.due) && f.isMember(id) {
+		if !now.Before(p.due) && (f.isMember(id) || now.Sub(p.heard) < LoanMax) {
 			due[id] = p
 			p.due = now.Add(f.period())
 		}
@@ -180,7 +182,7 @@
 	if len(b.loans) == 0 {
 		return
 	}
-	if !b.taker.self {
+	if !b.taker.mine {
 		for _, l := range b.loans {
 			b.recall(now, l.from)
 		}
--- a/internal/limit/run.go
+++ b/internal/limit/run.go
@@ -95,6 +95,7 @@
 		f.mu.Unlock()
 		return
 	}
+	f.replace(now)
 	var rs []reply
 	out := map[member.ID]*peerpb.LimitMessage{}
 	for _, b := range f.buckets.Load().sorted() {
@@ -118,6 +119,7 @@
 	b.taker.demand.step(now)
 	f.giveBack(now, b, out)
 	f.announce(now, b)
+	f.hasten(now, b)
 	rs := b.overdue(f, now)
 	t := &b.taker
 	b.trim(now)
@@ -128,6 +130,15 @@
 	return rs
 }
 
+// hasten renews at once to a home that has no loan yet.
+func (f *Fleet) hasten(now time.Time, b *bucket) {
+	p := b.taker.home
+	if p == nil || b.lent.part > 0 || b.share <= 0 || now.Sub(p.hastened) < hastenEvery || b.wish(now) == 0 {
+		return
+	}
+	p.due, p.hastened = now, now
+}
+
 // announce asks for loans at once when a limit that is lent on demand comes into
 // use.
 func (f *Fleet) announce(now time.Time, b *bucket) {
@@ -141,12 +152,16 @@
 	t.announced = use
 }
 
-// Receive takes in a message of another VM. Messages that are repeated or late
-// are dropped.
+// Receive takes in a message of another VM, also of one that is not counted yet.
+// Messages that are repeated or late are dropped.
 func (f *Fleet) Receive(now time.Time, from member.ID, m *peerpb.LimitMessage) {
 	f.mu.Lock()
-	p := f.peers[from]
-	if p == nil || f.paused || m.GetTo() != f.Self.Incarnation || m.GetSent() <= p.echo {
+	if f.start.IsZero() || f.paused || m.GetTo() != f.Self.Incarnation {
+		f.mu.Unlock()
+		return
+	}
+	p := f.peer(now, from)
+	if m.GetSent() <= p.echo {
 		f.mu.Unlock()
 		return
 	}
--- a/internal/limit/taker.go
+++ b/internal/limit/taker.go
@@ -24,6 +24,10 @@
 // taker is the state of a VM that gets tokens of a limit from its home.
 type taker struct {
 	home *peer
+	// other is the home if this VM is not taken into account; mine says that this
+	// VM comes first.
+	other *peer
+	mine  bool
 	// self says that this VM is the home.
 	self bool
 	lots []lot
