Shorten the validity of asked tokens, and lend more when a home runs short

Change: tokens that requests wait for end after 12 ms at least and four round trips; a share keeps 1.02 times its demand, not 1.25, while the home is short.

--- a/internal/limit/lender.go
+++ b/internal/limit/lender.go
@@ -19,6 +19,8 @@
 	smallPart  = 4
 	// keepFactor is how far an own share exceeds the demand on it.
 	keepFactor = 1.25
+	// scarceFactor is the same while the home runs short.
+	scarceFactor = 1.02
 	// partStep is the least change of a part that is lent, in pieces.
 	partStep = 4
 	// idlePart is the part lent of a large number of units without demand.
@@ -66,11 +68,10 @@
 	if r <= 0 {
 		return 0
 	}
-	most := parts - 1
 	if now.Sub(t.demand.wanted) > wantedFor {
-		most = easyPart
+		return min(easyPart, max(0, int(parts*(1-keepFactor*t.demand.rate/r))))
 	}
-	return min(most, max(0, int(parts*(1-keepFactor*t.demand.rate/r))))
+	return min(parts-1, max(0, int(parts*(1-scarceFactor*t.demand.rate/r))))
 }
 
 // lend starts or renews the loan of a part of the own share. It returns false
--- a/internal/limit/taker.go
+++ b/internal/limit/taker.go
@@ -9,13 +9,13 @@
 
 // Times of asking the home.
 const (
-	minValid    = 30 * time.Millisecond
+	minValid    = 12 * time.Millisecond
 	maxValid    = 200 * time.Millisecond
 	aheadValid  = time.Second
 	askPause    = 200 * time.Millisecond
 	shortStep   = 20 * time.Millisecond
 	maxRetry    = 10 * time.Second
-	validFactor = 8
+	validFactor = 4
 )
 
 // maxWaiting bounds the requests that wait for the home, for each limit.
