--- a/internal/limit/schedule_test.go
+++ b/internal/limit/schedule_test.go
@@ -16,11 +16,12 @@
 
 // Size of the search over random schedules.
 const (
-	schedules   = "1200"
-	seed        = "1"
-	length      = 60 * time.Second
-	faultEvery  = 8 * time.Second
-	longestWork = 3 * time.Second
+	schedules     = "1000"
+	realSchedules = "200"
+	seed          = "1"
+	length        = 60 * time.Second
+	faultEvery    = 8 * time.Second
+	longestWork   = 3 * time.Second
 )
 
 func key(kind limit.Kind, name string) limit.Key {
@@ -40,23 +41,24 @@
 	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), s.port)
 }
 
-func newSchedule(t *rapid.T) *schedule {
+func newSchedule(t *rapid.T, p *virtual.Platform) *schedule {
 	r := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
 	s := &schedule{random: r, checkers: map[limit.Key]*virtual.Checker{}}
 	s.world = &virtual.World{
-		Random:  r,
-		Delay:   time.Millisecond,
-		Spread:  time.Duration(rapid.IntRange(1, 40).Draw(t, "spread")) * time.Millisecond,
-		Loss:    rapid.SampledFrom([]float64{0, 0.01, 0.2}).Draw(t, "loss"),
-		Repeat:  rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "repeat"),
-		Late:    rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "late"),
-		LateMax: 20 * time.Second,
-		Drift:   0.01,
-		Skew:    0.01,
-		Wrong:   rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "wrong"),
-		Promise: 20 * time.Second,
-		Forget:  2 * time.Second,
-		Longest: longestWork,
+		Random:   r,
+		Delay:    time.Millisecond,
+		Spread:   time.Duration(rapid.IntRange(1, 40).Draw(t, "spread")) * time.Millisecond,
+		Loss:     rapid.SampledFrom([]float64{0, 0.01, 0.2}).Draw(t, "loss"),
+		Repeat:   rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "repeat"),
+		Late:     rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "late"),
+		LateMax:  20 * time.Second,
+		Drift:    0.01,
+		Platform: p,
+		Skew:     0.01,
+		Wrong:    rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "wrong"),
+		Promise:  20 * time.Second,
+		Forget:   2 * time.Second,
+		Longest:  longestWork,
 		Specs: []limit.Spec{
 			{Key: key(limit.Rate, "small"), Rate: 4, Burst: 8},
 			{Key: key(limit.Rate, "large"), Rate: 60, Burst: 200},
@@ -162,27 +164,36 @@
 
 var _ = Describe("random schedules", func() {
 	It("never pass a limit in any interval", func() {
-		Expect(flag.Set("rapid.seed", seed)).To(Succeed())
-		Expect(flag.Set("rapid.checks", schedules)).To(Succeed())
-		Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
-		used := map[string]int{}
-		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			s := newSchedule(t)
-			s.arrive(rapid.SampledFrom([]float64{0.5, 0.9, 3}).Draw(t, "load"))
-			for at := faultEvery; at < length; at += faultEvery {
-				n := rapid.IntRange(0, 8).Draw(t, "fault")
-				s.world.At(at, func() { s.fault(n) })
-			}
-			s.world.Run(length)
-			if o := s.over(); len(o) > 0 {
-				t.Fatalf("over the limit: %v", o)
-			}
-			for k, c := range s.checkers {
-				used[k.Workspace] += c.Used
-			}
-		})
-		for _, k := range []string{"small", "large", "few", "many", "cold"} {
-			Expect(used[k]).To(BeNumerically(">", 0), k)
-		}
+		search(schedules, func() *virtual.Platform { return nil })
+	})
+
+	It("never pass a limit with the product's membership", func() {
+		search(realSchedules, func() *virtual.Platform { return &virtual.Platform{Lag: 3 * time.Second} })
 	})
 })
+
+// search runs random schedules.
+func search(checks string, platform func() *virtual.Platform) {
+	Expect(flag.Set("rapid.seed", seed)).To(Succeed())
+	Expect(flag.Set("rapid.checks", checks)).To(Succeed())
+	Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
+	used := map[string]int{}
+	rapid.Check(GinkgoT(), func(t *rapid.T) {
+		s := newSchedule(t, platform())
+		s.arrive(rapid.SampledFrom([]float64{0.5, 0.9, 3}).Draw(t, "load"))
+		for at := faultEvery; at < length; at += faultEvery {
+			n := rapid.IntRange(0, 8).Draw(t, "fault")
+			s.world.At(at, func() { s.fault(n) })
+		}
+		s.world.Run(length)
+		if o := s.over(); len(o) > 0 {
+			t.Fatalf("over the limit: %v", o)
+		}
+		for k, c := range s.checkers {
+			used[k.Workspace] += c.Used
+		}
+	})
+	for _, k := range []string{"small", "large", "few", "many", "cold"} {
+		Expect(used[k]).To(BeNumerically(">", 0), k)
+	}
+}
