--- a/internal/limit/place.go
+++ b/internal/limit/place.go
@@ -1,107 +1,78 @@
 package limit
 
 import (
-	"maps"
+	"slices"
 	"time"
 
 	"lentilbend.example/internal/member"
 )
 
-// avoidFor is how long a VM that said it has no part of a limit is not asked
-// for it again.
-const avoidFor = 5 * time.Second
-
-// candidate is a VM that may be the home of limits.
-type candidate struct {
-	id member.ID
-	// peer is nil for this VM.
-	peer *peer
-}
+// placeEvery is the time between looks at who may be a home.
+const placeEvery = 200 * time.Millisecond
 
 // place finds the home of every limit.
 func (f *Fleet) place(now time.Time) {
-	var cs []candidate
-	if !f.leaving {
-		cs = append(cs, candidate{id: f.Self})
-	}
-	for _, m := range f.members {
-		if m.Answering && !m.Leaving && m.ID != f.Self {
-			cs = append(cs, candidate{id: m.ID, peer: f.peers[m.ID]})
-		}
-	}
-	f.candidates.Store(&cs)
+	f.candidates = f.answering(now)
 	var rs []reply
 	for _, b := range f.buckets.Load().byKey {
+		h, ok := home(b.id, f.candidates)
+		mine := !f.leaving && (!ok || score(b.id, f.Self.Address) > score(b.id, h.Address))
 		b.mu.Lock()
-		rs = append(rs, b.settleHome(f, now)...)
+		rs = append(rs, b.move(now, f.peers[h], mine)...)
 		b.mu.Unlock()
 	}
 	answer(rs)
 }
 
-// settleHome moves the bucket to the candidate with the highest score that may
-// have a part of the limit.
-func (b *bucket) settleHome(f *Fleet, now time.Time) []reply {
-	cs := *f.candidates.Load()
-	c, ok := b.highest(cs, func(candidate) bool { return true })
-	b.taker.astray = ok && !b.hasPart(now, c)
-	if b.taker.astray {
-		if d, found := b.highest(cs, func(c candidate) bool { return b.hasPart(now, c) }); found {
-			c = d
+// answering returns the other VMs that may be homes: those that answer the
+// membership and send renewals. To a VM without a share, which may have no
+// promises yet, renewals are enough.
+func (f *Fleet) answering(now time.Time) []member.ID {
+	var cs []member.ID
+	most := 5 * f.period() / 2
+	for _, m := range f.members {
+		p := f.peers[m.ID]
+		if p == nil || m.Leaving || !m.Answering && f.share.Usable {
+			continue
 		}
-	}
-	return b.move(now, c.peer, ok && c.peer == nil)
-}
-
-// highest returns the candidate with the highest score among those that fit.
-func (b *bucket) highest(cs []candidate, fits func(candidate) bool) (candidate, bool) {
-	var best candidate
-	var top uint64
-	found := false
-	for _, c := range cs {
-		if s := score(b.id, c.id.Address); fits(c) && (!found || s > top) {
-			best, top, found = c, s, true
+		if now.Sub(p.heard) <= most || m.Answering && now.Sub(p.met) <= most {
+			cs = append(cs, m.ID)
 		}
 	}
-	return best, found
+	return cs
 }
 
-// hasPart tells whether a candidate may have a part of the limit, as far as is
-// known here. A VM that has started lately may have none.
-func (b *bucket) hasPart(now time.Time, c candidate) bool {
-	if c.peer == nil {
-		return b.share > 0 || b.held > 0
+// replace looks for other homes when other VMs send renewals than before.
+func (f *Fleet) replace(now time.Time) {
+	if now.Sub(f.placed) < placeEvery {
+		return
+	}
+	f.placed = now
+	if !slices.Equal(f.candidates, f.answering(now)) {
+		f.place(now)
 	}
-	return !now.Before(b.taker.avoided[c.id])
 }
 
-// avoid leaves a home that said that it has no part of the limit.
-func (b *bucket) avoid(f *Fleet, now time.Time, p *peer) []reply {
+// move changes the home of a bucket. If it is this VM, p is who is asked while
+// this VM has no part of the limit.
+func (b *bucket) move(now time.Time, p *peer, mine bool) []reply {
 	t := &b.taker
-	if t.avoided == nil {
-		t.avoided = map[member.ID]time.Time{}
+	if t.other == p && t.mine == mine {
+		return nil
 	}
-	maps.DeleteFunc(t.avoided, func(_ member.ID, u time.Time) bool { return !now.Before(u) })
-	t.avoided[p.id] = now.Add(avoidFor)
-	return b.settleHome(f, now)
+	t.other, t.mine, t.after = p, mine, time.Time{}
+	b.refill(now)
+	b.elect()
+	return t.dismiss()
 }
 
-// move changes the home of a bucket.
-func (b *bucket) move(now time.Time, p *peer, self bool) []reply {
+// elect makes this VM its own home if it is the home and has a part of the
+// limit.
+func (b *bucket) elect() {
 	t := &b.taker
-	if t.home == p && t.self == self {
-		return nil
-	}
-	t.home, t.self, t.after = p, self, time.Time{}
-	if self {
-		return t.dismiss()
-	}
-	var rs []reply
-	if t.pending || p == nil {
-		rs = t.dismiss()
-	}
-	for _, l := range b.loans {
-		b.recall(now, l.from)
+	t.self = t.mine && (b.share > 0 || len(b.loans) > 0 || t.other == nil)
+	t.home = t.other
+	if t.self {
+		t.home = nil
 	}
-	return rs
 }
