--- a/internal/limit/run.go
+++ b/internal/limit/run.go
@@ -95,6 +95,7 @@
 		f.mu.Unlock()
 		return
 	}
+	f.replace(now)
 	var rs []reply
 	out := map[member.ID]*peerpb.LimitMessage{}
 	for _, b := range f.buckets.Load().sorted() {
@@ -118,11 +119,9 @@
 	b.taker.demand.step(now)
 	f.giveBack(now, b, out)
 	f.announce(now, b)
+	f.hasten(now, b)
 	rs := b.overdue(f, now)
 	t := &b.taker
-	if t.astray {
-		rs = append(rs, b.settleHome(f, now)...)
-	}
 	b.trim(now)
 	if b.kind.counted() && t.home != nil && !t.pending && t.tokens() < t.reported {
 		m := message(out, t.home.id)
@@ -131,6 +130,20 @@
 	return rs
 }
 
+// hasten renews at once to a home that has no loan yet, and to one whose loan is
+// missed here.
+func (f *Fleet) hasten(now time.Time, b *bucket) {
+	p := b.taker.home
+	w := b.share > 0 && b.lent.part == 0
+	if b.lent.part > 0 && !b.lent.ending && now.Sub(b.taker.demand.refused) < time.Second {
+		p, w = f.peers[b.lent.to], true
+	}
+	if !w || p == nil || now.Sub(p.hastened) < hastenEvery || (b.wish(now) == 0) != (b.lent.part > 0) {
+		return
+	}
+	p.due, p.hastened = now, now
+}
+
 // announce asks for loans at once when a limit that is lent on demand comes into
 // use.
 func (f *Fleet) announce(now time.Time, b *bucket) {
@@ -144,12 +157,16 @@
 	t.announced = use
 }
 
-// Receive takes in a message of another VM. Messages that are repeated or late
-// are dropped.
+// Receive takes in a message of another VM, also of one that is not counted yet.
+// Messages that are repeated or late are dropped.
 func (f *Fleet) Receive(now time.Time, from member.ID, m *peerpb.LimitMessage) {
 	f.mu.Lock()
-	p := f.peers[from]
-	if p == nil || f.paused || m.GetTo() != f.Self.Incarnation || m.GetSent() <= p.echo {
+	if f.start.IsZero() || f.paused || m.GetTo() != f.Self.Incarnation {
+		f.mu.Unlock()
+		return
+	}
+	p := f.peer(now, from)
+	if m.GetSent() <= p.echo {
 		f.mu.Unlock()
 		return
 	}
@@ -193,99 +210,3 @@
 		}
 	}
 }
-
-// Pause drops everything that may have ended while the process did not run. It
-// grants nothing until Members is called.
-func (f *Fleet) Pause(now time.Time) {
-	f.mu.Lock()
-	if f.start.IsZero() {
-		f.mu.Unlock()
-		return
-	}
-	f.paused = true
-	f.notBefore = f.stamp(now)
-	var rs []reply
-	for _, b := range f.buckets.Load().byKey {
-		b.mu.Lock()
-		rs = append(rs, b.pause(now)...)
-		b.mu.Unlock()
-	}
-	f.mu.Unlock()
-	answer(rs)
-}
-
-func (b *bucket) pause(now time.Time) []reply {
-	b.refill(now)
-	b.share = 0
-	b.loans = nil
-	b.recount()
-	if b.kind.counted() {
-		b.drop()
-	} else {
-		b.taker.lots = nil
-	}
-	return b.taker.dismiss()
-}
-
-// Leave begins a planned stop: the own share is used no more, and loans go back
-// both ways. Requests are served with tokens of the homes.
-func (f *Fleet) Leave(now time.Time) {
-	f.mu.Lock()
-	if f.start.IsZero() {
-		f.mu.Unlock()
-		return
-	}
-	f.leaving = true
-	f.shares(now)
-	f.place(now)
-	for _, p := range f.peers {
-		p.due = now
-	}
-	f.mu.Unlock()
-	f.Tick(now)
-}
-
-// HeldUntil is until when others may use loans or tokens of this VM's share of
-// a rate. A VM that leaves gives its share up no earlier.
-func (f *Fleet) HeldUntil(now time.Time) time.Time {
-	return f.latest(now, func(b *bucket) bool { return !b.kind.counted() })
-}
-
-// RunningUntil is the latest time at which work may run under this VM's share
-// of limits on requests at once.
-func (f *Fleet) RunningUntil(now time.Time) time.Time {
-	return f.latest(now, func(b *bucket) bool { return b.kind.counted() })
-}
-
-func (f *Fleet) latest(now time.Time, of func(*bucket) bool) time.Time {
-	r := now
-	n := f.buckets.Load()
-	if n == nil {
-		return r
-	}
-	for _, b := range n.byKey {
-		b.mu.Lock()
-		if of(b) {
-			r = b.busyUntil(now, r)
-		}
-		b.mu.Unlock()
-	}
-	return r
-}
-
-// busyUntil is the later of r and the end of what is out of the bucket.
-func (b *bucket) busyUntil(now, r time.Time) time.Time {
-	b.refill(now)
-	if b.lent.part > 0 && b.lent.until.After(r) {
-		r = b.lent.until
-	}
-	for _, c := range b.charges {
-		if c.until.After(r) {
-			r = c.until
-		}
-	}
-	if b.running+b.taker.running > 0 && b.runningUntil.After(r) {
-		r = b.runningUntil
-	}
-	return r
-}
--- a/internal/limit/taker.go
+++ b/internal/limit/taker.go
@@ -4,19 +4,18 @@
 	"math"
 	"time"
 
-	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/peerpb"
 )
 
 // Times of asking the home.
 const (
-	minValid    = 30 * time.Millisecond
+	minValid    = 12 * time.Millisecond
 	maxValid    = 200 * time.Millisecond
 	aheadValid  = time.Second
 	askPause    = 200 * time.Millisecond
 	shortStep   = 20 * time.Millisecond
 	maxRetry    = 10 * time.Second
-	validFactor = 8
+	validFactor = 4
 )
 
 // maxWaiting bounds the requests that wait for the home, for each limit.
@@ -25,14 +24,13 @@
 // taker is the state of a VM that gets tokens of a limit from its home.
 type taker struct {
 	home *peer
+	// other is the home if this VM is not taken into account; mine says that this
+	// VM comes first.
+	other *peer
+	mine  bool
 	// self says that this VM is the home.
 	self bool
-	// astray says that the home is not the VM with the highest score, because
-	// that one has no part of the limit; avoided holds the VMs that said so,
-	// and until when they are not asked.
-	astray  bool
-	avoided map[member.ID]time.Time
-	lots    []lot
+	lots []lot
 	// running is the number of own requests that hold units of the lots.
 	running int
 	number  uint32
