--- a/internal/limit/taker.go
+++ b/internal/limit/taker.go
@@ -9,13 +9,13 @@
 
 // Times of asking the home.
 const (
-	minValid    = 30 * time.Millisecond
+	minValid    = 12 * time.Millisecond
 	maxValid    = 200 * time.Millisecond
 	aheadValid  = time.Second
 	askPause    = 200 * time.Millisecond
 	shortStep   = 20 * time.Millisecond
 	maxRetry    = 10 * time.Second
-	validFactor = 8
+	validFactor = 4
 )
 
 // maxWaiting bounds the requests that wait for the home, for each limit.
@@ -24,6 +24,10 @@
 // taker is the state of a VM that gets tokens of a limit from its home.
 type taker struct {
 	home *peer
+	// other is the home if this VM is not taken into account; mine says that this
+	// VM comes first.
+	other *peer
+	mine  bool
 	// self says that this VM is the home.
 	self bool
 	lots []lot
