--- a/lentilbend/internal/pool/fixture_test.go
+++ b/lentilbend/internal/pool/fixture_test.go
@@ -1,11 +1,9 @@
 package pool
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"time"
@@ -34,41 +32,23 @@
 
 // server answers a request when the path is /now, and /late once told to.
 type server struct {
-	net.Listener
+	*httptest.Server
 	late chan struct{}
 	read chan string
 }
 
 func newServer() *server {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	s := &server{Listener: l, late: make(chan struct{}), read: make(chan string, 100)}
-	DeferCleanup(l.Close)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	s := &server{late: make(chan struct{}), read: make(chan string, 100)}
+	s.Server = httptest.NewServer(s)
+	DeferCleanup(s.Config.Close)
 	return s
 }
 
-func (s *server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	b := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(b)
-		if err != nil {
-			return
-		}
-		s.read <- r.URL.Path
-		if r.URL.Path == "/late" {
-			<-s.late
-		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+// ServeHTTP answers with an empty body.
+func (s *server) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	s.read <- r.URL.Path
+	if r.URL.Path == "/late" {
+		<-s.late
 	}
 }
 
@@ -85,7 +65,7 @@
 	f.set = New(func(netip.AddrPort) int { return allowance })
 	f.set.Now = f.Now
 	f.set.Ahead = 0
-	f.pool = f.set.Pool(netip.MustParseAddrPort(f.Addr().String()))
+	f.pool = f.set.Pool(netip.MustParseAddrPort(f.Listener.Addr().String()))
 	DeferCleanup(f.set.retire)
 	return f
 }
@@ -131,6 +111,7 @@
 		Expect(f.trip(c, "/late", Trip{})).To(Succeed())
 		c.Release()
 	}()
+	DeferCleanup(func() { Eventually(done).Should(BeClosed()) })
 	Eventually(f.read).Should(Receive(Equal("/late")))
 	return done
 }
