--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -93,6 +93,9 @@
 	gone map[ID]time.Time
 	// ghosts holds processes counted for running requests only, and until when.
 	ghosts map[ID]time.Time
+	// missed holds processes that were forgotten without a majority, and until
+	// when a majority still counts them.
+	missed map[ID]time.Time
 	list   list
 
 	// standing says that this VM is known to all that use a share. It is kept
@@ -193,12 +196,11 @@
 	if !n.started.IsZero() {
 		return
 	}
-	n.started, n.lostAt = now, now
-	// Loans of an earlier process at this address may still run.
-	n.useFrom = now.Add(n.longer(n.LoanMax))
+	n.started = now
 	n.peers = map[netip.AddrPort]*peer{}
 	n.gone = map[ID]time.Time{}
 	n.ghosts = map[ID]time.Time{}
+	n.missed = map[ID]time.Time{}
 	n.selfHash = hash(n.Self)
 	n.digest = n.selfHash
 }
@@ -278,7 +280,7 @@
 		return
 	}
 	i, _ := slices.BinarySearchFunc(n.order, p, comparePeers)
-	n.order = slices.Insert(n.order, i, p)
+	n.order = slices.Insert(slices.Clone(n.order), i, p)
 }
 
 // remove ends knowing a process.
--- a/lentilbend/internal/pool/open.go
+++ b/lentilbend/internal/pool/open.go
@@ -44,6 +44,9 @@
 }
 
 func (p *Pool) start() {
+	if p.opening == 0 {
+		p.openingSince = time.Now()
+	}
 	p.opening++
 	go p.dial()
 }
@@ -115,8 +118,8 @@
 		Protocols:              p,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 256 << 10,
-		ReadBufferSize:         8 << 10,
-		WriteBufferSize:        8 << 10,
+		ReadBufferSize:         4 << 10,
+		WriteBufferSize:        4 << 10,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			n, err := d.DialContext(ctx, network, address)
 			if err != nil {
