Never share out less than half of a service's slots

Cause: with 1,000 slots and empty queues the learned limit fell to 11 to 14 when the processor was busy, because the latency grew to 4 times its base; 244 of 80,200 calls within their rates got 503 (measure latency, 10,000 calls/s). Ruled out: the servers' queues (their reports said 0) and the rate filter. Change: a gate does not fall below half of the slots that are in, divided by the entry VMs; the refusal has a cause of its own in the metrics. Conclusion: slots of the table bound what the latency may take away.

--- a/internal/fair/gate.go
+++ b/internal/fair/gate.go
@@ -110,6 +110,14 @@
 	verdict Verdict
 }
 
+// SetLeast sets how many requests may run at once whatever the latencies are:
+// those that the servers' slots surely bear.
+func (g *Gate) SetLeast(n float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit.least = max(limitLeast, n)
+}
+
 // Enter asks for r to run. The ticket is nil when it is refused.
 func (g *Gate) Enter(now time.Time, r Request) (*Ticket, Verdict) {
 	defer g.resolve()
--- a/internal/fair/limit.go
+++ b/internal/fair/limit.go
@@ -39,7 +39,9 @@
 // limit learns how many requests may run at once. It falls while the servers'
 // queues are long, and grows while it is used and they are short.
 type limit struct {
-	value    float64
+	value float64
+	// least is what the limit does not fall below.
+	least    float64
 	pressure float64
 	reports  float64 // part of the samples with a report
 	latency  time.Duration
@@ -51,9 +53,9 @@
 
 func (l *limit) whole() int {
 	if l.value == 0 {
-		return int(limitFirst)
+		return int(max(limitFirst, l.least))
 	}
-	return int(l.value)
+	return int(max(l.value, l.least))
 }
 
 func (l *limit) observe(now time.Time, s Sample, running int) {
@@ -131,5 +133,5 @@
 	if peak >= usedPart*max(l.value-1, limitLeast) {
 		l.value += stepUp
 	}
-	l.value = min(max(l.value, limitLeast), limitMost)
+	l.value = max(min(max(l.value, limitLeast), limitMost), l.least)
 }
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -42,6 +42,11 @@
 	early    map[string][]early
 }
 
+// surePart is the part of the slots of a service that are used at once whatever
+// the latencies are; the rest must be earned, since some servers may be cold or
+// slow.
+const surePart = 0.5
+
 // service is one service of the table.
 type service struct {
 	set    *choice.Set
@@ -131,9 +136,15 @@
 	v.cold.Set(c.ColdRate, l.entries)
 	v.probes.Set(c.ProbeRate, l.entries)
 	ss := make([]choice.Server, 0, len(c.Servers))
+	in := 0
 	for _, a := range c.Servers {
-		ss = append(ss, l.server(a, out(t, a.DataCentre)))
+		b := l.server(a, out(t, a.DataCentre))
+		if !b.Out && !b.Leaving && !b.Missing {
+			in++
+		}
+		ss = append(ss, b)
 	}
+	v.gate.SetLeast(surePart * float64(in*c.Slots) / float64(max(1, l.entries)))
 	v.set.Update(now, choice.Limits{
 		Slots: c.Slots, ColdFor: c.ColdFor, VMs: l.entries, Probed: c.ProbeRate > 0 && c.LoadPath != "",
 	}, ss)
--- a/lentilbend/internal/exchange/refusal.go
+++ b/lentilbend/internal/exchange/refusal.go
@@ -39,6 +39,7 @@
 	CauseShed       Cause = "shed"
 	CauseBroken     Cause = "broken"
 	CauseNotHandled Cause = "not-implemented"
+	CauseOverload   Cause = "overload"
 )
 
 // Refusal ends an exchange without an answer of a backend server.
--- a/lentilbend/internal/filter/share/share.go
+++ b/lentilbend/internal/filter/share/share.go
@@ -81,6 +81,7 @@
 	x.Refuse(exchange.Refusal{
 		Status:     http.StatusServiceUnavailable,
 		Run:        exchange.NotRun,
+		Cause:      exchange.CauseOverload,
 		Reason:     "The service is overloaded.",
 		RetryAfter: r.RetryAfter,
 	})
--- a/standin/internal/measure/fair.go
+++ b/standin/internal/measure/fair.go
@@ -12,6 +12,9 @@
 	fairLength   = 12 * time.Second
 	fairDeadline = time.Second
 	fairLoad     = 1.5
+	// fairSure is the part of the slots that are used whatever the latencies
+	// are, as in the product.
+	fairSure = 0.5
 	// fairFew is the number of servers in a small service.
 	fairFew = 6
 	// fairCalm is the load in NoOverload.
@@ -92,7 +95,9 @@
 	b.served = make([]int, len(b.tenants))
 	b.offered = make([]int, len(b.tenants))
 	for range choiceVMs {
-		b.gates = append(b.gates, &fair.Gate{})
+		g := &fair.Gate{}
+		g.SetLeast(fairSure * float64(b.size*choiceSlots) / choiceVMs)
+		b.gates = append(b.gates, g)
 	}
 	var load float64
 	for _, t := range b.tenants {
