Tell the backend server whose request it is

Change: the header Workspace names the workspace of the key; a caller's own, also in a trailer, is dropped. Measured: the new spec failed without the change (the caller's 'other' went through) and passes.

--- a/lentilbend/internal/backend/body.go
+++ b/lentilbend/internal/backend/body.go
@@ -70,12 +70,14 @@
 	return b, nil
 }
 
-// announced returns the names of a trailer without values.
+// announced returns the names of a trailer without values. A caller names no
+// workspace.
 func announced(t http.Header) http.Header {
 	h := http.Header{}
 	for n := range t {
 		h[n] = nil
 	}
+	delete(h, exchange.WorkspaceHeader)
 	return h
 }
 
--- a/lentilbend/internal/backend/header.go
+++ b/lentilbend/internal/backend/header.go
@@ -51,6 +51,10 @@
 		h["User-Agent"] = noUserAgent
 	}
 	w.addForwarded(h, r)
+	delete(h, exchange.WorkspaceHeader)
+	if s := w.exchange.Workspace; s != nil {
+		h[exchange.WorkspaceHeader] = w.value(s.Name)
+	}
 	w.header = h
 }
 
--- a/lentilbend/internal/backend/request_test.go
+++ b/lentilbend/internal/backend/request_test.go
@@ -61,6 +61,17 @@
 		Expect(fmt.Sprint(r.Header)).NotTo(ContainSubstring("withdrawn"))
 	})
 
+	It("names the workspace of the key, whatever the caller says", func() {
+		s := newServer(says(okAnswer))
+		e := newEntry(s.address())
+		e.do("GET", "/read/1", "", "Workspace", "other")
+		r, _ := s.last()
+		Expect(r.Header["Workspace"]).To(Equal([]string{"w"}))
+		e.do("GET", "/open/1", "", "Authorization", "Bearer withdrawn", "Workspace", "other")
+		r, _ = s.last()
+		Expect(r.Header).NotTo(HaveKey("Workspace"))
+	})
+
 	It("refuses a key withdrawn while its connection is open", func() {
 		s := newServer(says(okAnswer))
 		e := newEntry(s.address())
--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -46,7 +46,7 @@
 	chosen time.Time
 	early  early
 	// values back the header fields that are set here, most of the time.
-	values [5]string
+	values [6]string
 	used   int
 	load   load.Report
 	first  [1]netip.AddrPort
--- a/lentilbend/internal/exchange/timeout.go
+++ b/lentilbend/internal/exchange/timeout.go
@@ -14,6 +14,9 @@
 	TimeoutHeader = "Request-Timeout"
 	// AttemptHeader counts from 1 how often the request was sent.
 	AttemptHeader = "Request-Attempt"
+	// WorkspaceHeader names the workspace of the request's key to the backend
+	// server. What a caller sends under this name is dropped.
+	WorkspaceHeader = "Workspace"
 )
 
 // Bounds of the headers' values.
