--- /dev/null
+++ b/internal/timer/sleep.go
@@ -0,0 +1,18 @@
+package timer
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d and reports whether ctx still runs.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return ctx.Err() == nil
+	}
+}
--- a/lentilbend/internal/cli/dump.go
+++ b/lentilbend/internal/cli/dump.go
@@ -12,19 +12,21 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	"lentilbend.example/internal/command"
 )
 
 // dumpTimeout bounds how long a running process may take to answer.
 const dumpTimeout = 10 * time.Second
 
 // dumpCommand prints the state of a running process.
-func dumpCommand() command {
+func dumpCommand() command.Command {
 	address, authority := "127.0.0.1:9081", ""
 	c := flaggy.NewSubcommand("dump")
 	c.Description = "print the state of a running process"
 	c.String(&address, "o", "operator", "operators' address of the process")
 	c.String(&authority, "a", "authority", "PEM file with the authority of its certificate; turns on TLS")
-	return command{sub: c, run: func(out io.Writer) error {
+	return command.Command{Subcommand: c, Run: func(out io.Writer) error {
 		a, err := netip.ParseAddrPort(address)
 		if err != nil {
 			return fmt.Errorf("dump: %w", err)
--- a/lentilbend/internal/peer/dial.go
+++ b/lentilbend/internal/peer/dial.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"lentilbend.example/internal/peerpb"
+	"lentilbend.example/internal/timer"
 )
 
 // idleTimeout is how long an unused connection for pulls stays open.
@@ -77,7 +78,7 @@
 		if err != nil && ctx.Err() == nil {
 			_ = level.Debug(h.Logger).Log("msg", "Stream ended.", "peer", l.address, "err", err)
 		}
-		sleep(ctx, b/2+rand.N(b))
+		timer.Sleep(ctx, b/2+rand.N(b))
 		b = min(2*b, h.Times.BackoffMax)
 	}
 }
@@ -93,7 +94,7 @@
 		if l.current() != nil {
 			return false
 		}
-		sleep(ctx, h.Times.Backoff/2+rand.N(h.Times.Backoff))
+		timer.Sleep(ctx, h.Times.Backoff/2+rand.N(h.Times.Backoff))
 	}
 	return l.current() == nil
 }
@@ -136,12 +137,3 @@
 	}
 	return h.run(ctx, cancel, l, from, f, x)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lentilbend/internal/platform/reader.go
+++ b/lentilbend/internal/platform/reader.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"lentilbend.example/internal/platformpb"
+	"lentilbend.example/internal/timer"
 
 	"lentilbend.example/lentilbend/internal/store"
 )
@@ -80,15 +81,15 @@
 		w := r.Plan.Watches(r.Members())
 		r.setWatching(w)
 		if !w {
-			sleep(ctx, Jitter(watchCheck, rnd))
+			timer.Sleep(ctx, Jitter(watchCheck, rnd))
 			continue
 		}
 		if !r.values(ctx, watchWait) {
-			sleep(ctx, b.Next(rnd))
+			timer.Sleep(ctx, b.Next(rnd))
 			continue
 		}
 		b.Reset()
-		sleep(ctx, watchGap)
+		timer.Sleep(ctx, watchGap)
 	}
 }
 
@@ -97,12 +98,12 @@
 	b := Backoff{Least: leastRetry, Most: mostRetry}
 	for ctx.Err() == nil {
 		if !r.vms(ctx) || !r.values(ctx, 0) {
-			sleep(ctx, b.Next(rnd))
+			timer.Sleep(ctx, b.Next(rnd))
 			continue
 		}
 		b.Reset()
 		n := len(r.Members()) + 1
-		sleep(ctx, Jitter(r.Plan.PollInterval(n), rnd))
+		timer.Sleep(ctx, Jitter(r.Plan.PollInterval(n), rnd))
 	}
 }
 
@@ -229,12 +230,3 @@
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"lentilbend.example/internal/event"
 	"lentilbend.example/internal/peerpb"
+	"lentilbend.example/internal/timer"
 
 	"lentilbend.example/lentilbend/internal/platform"
 	"lentilbend.example/lentilbend/internal/store"
@@ -157,7 +157,7 @@
 // gossip announces to a random peer at intervals, so that a lost announcement
 // is made good.
 func (r *Relay) gossip(ctx context.Context) {
-	for sleep(ctx, gossipEvery/2+rand.N(gossipEvery)) {
+	for timer.Sleep(ctx, gossipEvery/2+rand.N(gossipEvery)) {
 		ms := r.Members()
 		r.keep(ms)
 		if len(ms) > 0 {
@@ -177,115 +177,6 @@
 	}
 }
 
-func (r *Relay) pulls(ctx context.Context) {
-	r.mu.Lock()
-	w := r.wakeup()
-	r.mu.Unlock()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-w:
-		}
-		r.catchUp(ctx)
-	}
-}
-
-// catchUp pulls until no peer is known to have more.
-func (r *Relay) catchUp(ctx context.Context) {
-	if r.conflict() && r.Resync != nil {
-		r.Resync(ctx)
-	}
-	for len(r.ahead()) > 0 && sleep(ctx, rand.N(spread)) {
-		ps := r.ahead()
-		if len(ps) == 0 {
-			return
-		}
-		p := ps[rand.IntN(len(ps))]
-		if err := r.pull(ctx, p); err != nil {
-			_ = level.Warn(r.Logger).Log("msg", "Pull failed.", "peer", p, "err", err)
-			r.forget(p)
-		}
-	}
-}
-
-// ahead returns the peers that have a newer table or list.
-func (r *Relay) ahead() []netip.AddrPort {
-	v, l := r.Store.Accepted(), r.List.Revision()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var ps []netip.AddrPort
-	for p, a := range r.heard {
-		newer := a.Table.Revision > v.Revision && a.Table != r.invalid
-		if newer || a.List > l {
-			ps = append(ps, p)
-		}
-	}
-	return ps
-}
-
-// conflict tells whether a peer holds other values of the revision held here,
-// and forgets what that peer announced.
-func (r *Relay) conflict() bool {
-	v := r.Store.Accepted()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	found := false
-	for p, a := range r.heard {
-		if a.Table.Revision == v.Revision && a.Table.Digest != v.Digest {
-			delete(r.heard, p)
-			found = true
-		}
-	}
-	return found
-}
-
-func (r *Relay) forget(p netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.heard, p)
-}
-
-// pull takes what the peer has newer. Values that do not fit are asked for
-// whole.
-func (r *Relay) pull(ctx context.Context, p netip.AddrPort) error {
-	ok, err := r.pullSince(ctx, p, r.Store.Accepted().Revision)
-	if err != nil || ok {
-		return err
-	}
-	if ok, err = r.pullSince(ctx, p, 0); err != nil || ok {
-		return err
-	}
-	r.forget(p)
-	return nil
-}
-
-func (r *Relay) pullSince(ctx context.Context, p netip.AddrPort, since uint64) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	q := &peerpb.PullRequest{Since: since, List: r.List.Revision()}
-	a, err := r.Peers.Pull(ctx, p, q)
-	if err != nil {
-		return false, err
-	}
-	if a.GetVms() != nil {
-		r.List.Apply(a.GetVms())
-	}
-	v := store.Version{Revision: a.GetAccepted(), Digest: a.GetDigest()}
-	r.note(p, Announced{Table: v, List: max(a.GetVms().GetRevision(), q.GetList())})
-	ok := r.Store.ApplyPeer(since, v, a.GetValues())
-	if ok && r.Store.Accepted().Revision < v.Revision {
-		r.setInvalid(v)
-	}
-	return ok, nil
-}
-
-func (r *Relay) setInvalid(v store.Version) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.invalid = v
-}
-
 // Dump returns what the peers announced.
 func (r *Relay) Dump() any {
 	r.mu.Lock()
@@ -296,15 +187,3 @@
 	}
 	return d
 }
-
-// sleep waits and tells whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/standin/internal/cli/bench.go
+++ b/standin/internal/cli/bench.go
@@ -9,13 +9,15 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+
 	"github.com/pelletier/go-toml/v2"
+	"lentilbend.example/internal/command"
 
 	"lentilbend.example/standin/internal/load"
 	"lentilbend.example/standin/internal/measure"
 )
 
-func measureCommand() command {
+func measureCommand() command.Command {
 	o := measure.Options{Seed: 1}
 	name := ""
 	c := flaggy.NewSubcommand("measure")
@@ -25,7 +27,7 @@
 	c.Int(&o.Seconds, "t", "seconds", "about how long to run")
 	c.String(&o.Plot, "p", "plot", "SVG or PNG file to draw")
 	c.String(&o.Bin, "b", "bin", "folder with the programs; that of this one if empty")
-	return command{sub: c, run: func(out io.Writer) error {
+	return command.Command{Subcommand: c, Run: func(out io.Writer) error {
 		if name == "list" {
 			_, err := fmt.Fprintln(out, strings.Join(measure.Names(), "\n"))
 			return err
@@ -40,13 +42,13 @@
 	}}
 }
 
-func loadCommand() command {
+func loadCommand() command.Command {
 	file, seed := "load.toml", uint64(1)
 	c := flaggy.NewSubcommand("load")
 	c.Description = "send calls at given times and print one TOML document"
 	c.String(&file, "f", "file", "TOML file with entry VMs, kinds, workspaces and rate")
 	c.UInt64(&seed, "s", "seed", "seed of the arrivals")
-	return command{sub: c, run: func(out io.Writer) error {
+	return command.Command{Subcommand: c, Run: func(out io.Writer) error {
 		g, err := load.Read(file)
 		if err != nil {
 			return err
--- a/standin/internal/cli/servers.go
+++ b/standin/internal/cli/servers.go
@@ -12,13 +12,14 @@
 	"github.com/integrii/flaggy"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"lentilbend.example/internal/command"
 	"lentilbend.example/internal/platformpb"
 
 	"lentilbend.example/standin/internal/backend"
 	"lentilbend.example/standin/internal/platform"
 )
 
-func platformCommand() command {
+func platformCommand() command.Command {
 	s := &platform.Server{}
 	address, dir, vms, control := "127.0.0.1:7000", "table", "", ""
 	c := flaggy.NewSubcommand("platform")
@@ -28,7 +29,7 @@
 	c.String(&vms, "v", "vms", "file with the VM list, JSON as GET /v1/vms answers it")
 	c.Duration(&s.Lag, "l", "lag", "age of the VM list")
 	c.String(&control, "c", "control", "address to change values, VM list and mode on")
-	return command{sub: c, run: func(io.Writer) error {
+	return command.Command{Subcommand: c, Run: func(io.Writer) error {
 		var err error
 		if s.Addresses, err = addresses(address); err != nil {
 			return err
@@ -59,7 +60,7 @@
 	return nil
 }
 
-func backendCommand() command {
+func backendCommand() command.Command {
 	o := backend.ServerOptions{Slots: 6, Queue: 32, Connections: 200, LoadPath: "/load"}
 	address, file, control := "127.0.0.1:7100", "", ""
 	c := flaggy.NewSubcommand("backend")
@@ -75,7 +76,7 @@
 	c.Duration(&o.OpenTime, "o", "open-time", "time that a new connection takes")
 	c.Duration(&o.ProbeTime, "p", "probe-time", "time that a load probe takes")
 	c.String(&o.LoadPath, "l", "load-path", "path of the load endpoint")
-	return command{sub: c, run: func(io.Writer) error {
+	return command.Command{Subcommand: c, Run: func(io.Writer) error {
 		g, err := group(file, address, o)
 		if err != nil {
 			return err
--- a/standin/internal/platform/values.go
+++ b/standin/internal/platform/values.go
@@ -2,14 +2,11 @@
 
 import (
 	"fmt"
-	"io/fs"
-	"os"
-	"path/filepath"
-	"strings"
 
 	"google.golang.org/protobuf/proto"
 
 	"lentilbend.example/internal/platformpb"
+	"lentilbend.example/internal/table"
 )
 
 // Change sets or deletes one value.
@@ -28,28 +25,14 @@
 
 // Load sets a value for each file NAME.toml below dir, in one revision.
 func (s *Server) Load(dir string) error {
-	var cs []Change
-	err := filepath.WalkDir(dir, func(p string, e fs.DirEntry, err error) error {
-		if err != nil {
-			return err
-		}
-		if e.IsDir() || filepath.Ext(p) != ".toml" {
-			return nil
-		}
-		b, err := os.ReadFile(p)
-		if err != nil {
-			return err
-		}
-		n, err := filepath.Rel(dir, p)
-		if err != nil {
-			return err
-		}
-		cs = append(cs, Change{Name: strings.TrimSuffix(filepath.ToSlash(n), ".toml"), Text: string(b)})
-		return nil
-	})
+	vs, err := table.ReadFolder(dir)
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
+	var cs []Change
+	for _, v := range vs {
+		cs = append(cs, Change{Name: v.Name, Text: v.Text})
+	}
 	s.Edit(cs...)
 	return nil
 }
