Let the demo say Ready only when all three entry VMs are

Cause: the line came when the first VM answered; the third was not ready for up to 3 s more (seen on a fresh clone). Change: the script waits for the readiness of all three. Measured: Ready, then 200 from 8081, 8082 and 8083; SIGINT to the group and SIGTERM to the script leave no process. Conclusion: both commands of the read-me work from a fresh clone.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,8 +24,14 @@
 done
 
 call="curl -s -H 'Authorization: Bearer demo-counter-key' http://127.0.0.1:8081/catalogue/rose"
+ready() {
+  for p in 9081 9082 9083; do
+    curl -sf -o /dev/null "http://127.0.0.1:$p/readyz" || return 1
+  done
+  eval "$call -f -o /dev/null"
+}
 for _ in $(seq 200); do
-  if eval "$call -f -o /dev/null"; then
+  if ready; then
     echo Ready
     echo "$call"
     wait
