Let a listener be closed twice in a planned stop

Cause: the stop closes the listener, and http.Server.Shutdown closes it again when Serve has not let it go yet; the second close failed and the process ended with exit code 1 after a stop that cut nothing. Ruled out: requests that were cut (the error is of the listener alone). Conclusion: a planned stop ends with 0.

--- a/lentilbend/internal/caller/listener.go
+++ b/lentilbend/internal/caller/listener.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,16 @@
 	return c, nil
 }
 
+// Close ends listening. It may be called again: the server closes a listener
+// that it has not let go yet when it shuts down.
+func (l *listener) Close() error {
+	err := l.Listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 func (l *listener) forget(c *conn) {
 	l.mu.Lock()
 	delete(l.conns, c)
