--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: build, demo, test, check, generate, measure.
 .PHONY: build demo test check fmt lint generate measure clean
 
-MODULES := internal lentilbend standin
+MODULES := internal platform lentilbend standin
 GOFILES = $(wildcard $(shell git ls-files -co --exclude-standard "*.go"))
 
 build: ## Build both programs into bin/.
--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -22,6 +22,11 @@
 	return c.server.address
 }
 
+// Name returns the server's own name.
+func (c *call) Name() string {
+	return c.server.name
+}
+
 // End tells how the call ended. Further calls do nothing.
 func (c *call) End(now time.Time, o Outcome) {
 	c.set.end(now, c, o)
--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -16,6 +16,15 @@
 type Server struct {
 	Address    netip.AddrPort
 	DataCentre string
+	// Name is the server's own name for one run of it; another name at the
+	// same address is another server.
+	Name string
+	// Slots is how many requests the server works on at once; 0 for the
+	// service's number.
+	Slots int
+	// ColdFor is how long the server stays cold from now on, as it said when
+	// it was entered.
+	ColdFor time.Duration
 	// Out says that the table takes the server's data centre out.
 	Out bool
 	// Leaving says that the platform's VM list shows the server as leaving.
@@ -28,6 +37,8 @@
 type Call interface {
 	// Server returns the server's address.
 	Server() netip.AddrPort
+	// Name returns the server's own name, empty when it has none.
+	Name() string
 	// End tells how the call ended. It must be called once.
 	End(now time.Time, o Outcome)
 }
@@ -45,6 +56,8 @@
 	// FirstByte is the time from the request's first byte sent to the
 	// answer's first byte read.
 	FirstByte time.Duration
+	// Bytes is the size of the answer's body.
+	Bytes int64
 }
 
 // Shed means that the server said that it did not start the request.
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -23,6 +23,11 @@
 	missingFactor  = 1.25
 	missingKnown   = 5 * time.Second
 	evidenceFactor = 1.0
+	// muteFactor is for a server that left its last probe unanswered.
+	muteFactor = 4.0
+	// paceFade is the time in which half of a reported pace is forgotten:
+	// neighbours on a machine change in some hundred milliseconds.
+	paceFade = 250 * time.Millisecond
 	// unknownLatency stands for the mean latency while too few are known.
 	unknownLatency = 10 * time.Millisecond
 	// coldWait is how long an empty allowance is not asked again.
@@ -53,6 +58,9 @@
 	found := false
 	for _, v := range s.servers {
 		v.undrain(s.now)
+		if v.start.over(s.now) {
+			s.rise(v)
+		}
 		if v.start.phase != phaseWarm || v.health.trial() || v.drain.said {
 			found = true
 			v.start.earn(len(s.servers))
@@ -158,7 +166,28 @@
 	if s.usual.known() {
 		m = float64(s.usual.mean)
 	}
-	return m*f*(1+s.wait(p, v)) + float64(v.centre.distance)
+	f *= s.pace(v)
+	if v.mute.After(v.heard) {
+		f *= muteFactor
+	}
+	e := m*f*(1+s.wait(p, v)) + float64(v.centre.distance)
+	if s.FarCost > 0 && v.centre.name != s.Home && s.asked != nil {
+		e += s.asked.bytes.value / 1000 * float64(s.FarCost)
+	}
+	return e
+}
+
+// pace returns by how much work takes longer at v than usual. An old report
+// fades to the mean of all servers.
+func (s *Set) pace(v *server) float64 {
+	if s.paces.count == 0 {
+		return 1
+	}
+	if v.report.Pace <= 0 {
+		return s.paces.value
+	}
+	w := faded(s.now.Sub(v.reported), paceFade)
+	return s.paces.value + (v.report.Pace-s.paces.value)*w
 }
 
 // wait returns the expected wait in v's queue, in mean latencies.
--- a/internal/choice/latency.go
+++ b/internal/choice/latency.go
@@ -28,6 +28,7 @@
 	median time.Duration
 	late   time.Duration
 	mean   time.Duration
+	bytes  mean // size of answers
 }
 
 // tailCut is the greatest part of a latency that counts for the mean, in
--- a/internal/choice/news.go
+++ b/internal/choice/news.go
@@ -126,7 +126,11 @@
 	at := s.now.Add(-max(n.Age, 0))
 	switch n.State {
 	case StateCold:
-		v.start.cold(at)
+		if s.stated {
+			v.start.coldUntil(at, at.Add(s.coldFor))
+		} else {
+			v.start.cold(at)
+		}
 	case StateDown:
 		s.hearDown(v, from, at)
 		return
--- a/internal/choice/outcome.go
+++ b/internal/choice/outcome.go
@@ -26,6 +26,7 @@
 	r := s.ratio(c, d)
 	if o.Status < http.StatusBadRequest {
 		s.learn(v, c, d)
+		c.kind.bytes.add(float64(o.Bytes))
 	}
 	s.warm(v, o.Load, r)
 }
@@ -100,9 +101,9 @@
 		s.tell(v, StateBack)
 	}
 	s.mean.add(float64(r.Running + r.Queued))
+	s.paced(r)
 	if r.Cold {
-		v.start.cold(s.now)
-		s.tell(v, StateCold)
+		s.chill(v, r)
 	}
 	if r.Draining {
 		s.tell(v, StateDraining)
@@ -123,6 +124,9 @@
 			v.start.cold(v.start.since)
 		}
 	case phaseCold:
+		if !v.start.until.IsZero() {
+			return
+		}
 		if r != nil && !r.Cold || r == nil && s.now.Sub(v.start.since) >= s.coldFor {
 			s.rise(v)
 			s.tell(v, StateBack)
@@ -130,6 +134,23 @@
 	}
 }
 
+// paced learns the usual pace of work.
+func (s *Set) paced(r *load.Report) {
+	if r.Pace > 0 {
+		s.paces.add(r.Pace)
+	}
+}
+
+// chill takes a server's word that it is cold.
+func (s *Set) chill(v *server, r *load.Report) {
+	if r.ColdLeft > 0 {
+		v.start.coldUntil(s.now, s.now.Add(r.ColdLeft))
+	} else {
+		v.start.cold(s.now)
+	}
+	s.tell(v, StateCold)
+}
+
 // rise begins a server's ramp. The credit differs by chance, so that entry VMs
 // do not all start at once. How slow it was before says nothing now.
 func (s *Set) rise(v *server) {
--- a/internal/choice/probe.go
+++ b/internal/choice/probe.go
@@ -1,7 +1,10 @@
 package choice
 
 import (
+	"cmp"
+	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lentilbend.example/internal/load"
@@ -40,6 +43,37 @@
 	return v.drains(s.now) || v.start.phase == phaseDoubt
 }
 
+// Candidates returns at most n servers that a request of a kind would best go
+// to and of which nothing was reported for maxAge, so that they can be asked
+// just before the choice.
+func (s *Set) Candidates(now time.Time, kind string, tried []netip.AddrPort, n int, maxAge time.Duration) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begin(now)
+	p, ok := s.Policy.(Informed)
+	if !ok || !s.probed || len(s.servers) < 2 {
+		return nil
+	}
+	s.asked = s.kind(kind)
+	if s.score(p, tried) == tierNone {
+		return nil
+	}
+	order := s.Rand.Perm(len(s.servers))
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.scores[a], s.scores[b]) })
+	var as []netip.AddrPort
+	for _, i := range order[:min(n, len(order))] {
+		v := s.servers[i]
+		if math.IsInf(s.scores[i], 1) {
+			break
+		}
+		if s.now.Sub(v.reported) > maxAge && s.now.Sub(v.probed) > maxAge {
+			v.probed = s.now
+			as = append(as, v.address)
+		}
+	}
+	return as
+}
+
 // Probed takes the answer to a probe, nil when there was none. It is one
 // witness: it ends a drain or a suspension, but only an answer to a request
 // ends a cold start.
@@ -48,10 +82,19 @@
 	defer s.mu.Unlock()
 	s.begin(now)
 	v := s.find(a)
-	if v == nil || r == nil {
+	if v == nil {
+		return
+	}
+	if r == nil {
+		v.mute = s.now
 		return
 	}
 	v.heard = s.now
+	if r.Pace > 0 {
+		v.take(s.now, r)
+		s.mean.add(float64(r.Running + r.Queued))
+		s.paced(r)
+	}
 	v.health.until = time.Time{}
 	if r.Draining {
 		v.drain.hear(s.now)
@@ -59,7 +102,6 @@
 		v.drain = drain{}
 	}
 	if r.Cold {
-		v.start.cold(s.now)
-		s.tell(v, StateCold)
+		s.chill(v, r)
 	}
 }
--- a/internal/choice/server.go
+++ b/internal/choice/server.go
@@ -10,6 +10,7 @@
 // server is what is known here of one backend server.
 type server struct {
 	address netip.AddrPort
+	name    string
 	centre  *centre
 	out     bool
 	leaving bool
@@ -35,6 +36,7 @@
 	answered  time.Time // when a whole good answer last came
 	heard     time.Time // when anything last came from the server
 	probed    time.Time
+	mute      time.Time // when a probe was last left unanswered
 	rumor     rumor
 	told      State // what other VMs were told last
 	chosen    uint64
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -30,6 +30,10 @@
 	Wake func()
 	// Probes is asked before each probe; nil for no probes.
 	Probes Allowance
+	// Home is the data centre of this VM, and FarCost the time that a thousand
+	// bytes of an answer from another data centre count as.
+	Home    string
+	FarCost time.Duration
 
 	mu       sync.Mutex
 	inFlight int
@@ -37,13 +41,16 @@
 	slots    int
 	vms      int
 	probed   bool
+	stated   bool
 	coldFor  time.Duration
 	servers  []*server
 	centres  []*centre
 	usual    latencies
 	kinds    map[string]*latencies
-	mean     mean // requests at a server, by all reports
-	ratios   mean // latencies in units of what was expected
+	mean     mean       // requests at a server, by all reports
+	ratios   mean       // latencies in units of what was expected
+	paces    mean       // pace of work, by all reports
+	asked    *latencies // of the kind that is chosen for
 	next     int
 	scores   []float64
 	started  bool
@@ -61,6 +68,9 @@
 	// VMs is how many entry VMs there are; it counts only while no server
 	// reports its load.
 	VMs int
+	// Stated says that servers state their cold starts, so that none is taken
+	// as cold because it is new.
+	Stated bool
 	// Probed says that servers have a load endpoint that may be probed.
 	Probed bool
 }
@@ -77,6 +87,7 @@
 	s.coldFor = l.ColdFor
 	s.vms = max(l.VMs, 1)
 	s.probed = l.Probed
+	s.stated = l.Stated
 	known := make(map[netip.AddrPort]*server, len(s.servers))
 	for _, v := range s.servers {
 		known[v.address] = v
@@ -84,12 +95,18 @@
 	s.servers = make([]*server, 0, len(ss))
 	for _, v := range ss {
 		n := known[v.Address]
-		if n == nil {
-			n = &server{address: v.Address, slow: 1}
+		if n != nil && n.name != v.Name {
+			n = nil
+		}
+		fresh := n == nil
+		if fresh {
+			n = &server{address: v.Address, name: v.Name, slow: 1}
 		}
 		v.Leaving = v.Leaving || n.leaving && v.Missing
 		back := n.out && !v.Out || n.leaving && !v.Leaving
-		if (s.started || s.New) && (known[v.Address] == nil || back) {
+		if s.stated {
+			s.enter(n, fresh, back, v.ColdFor)
+		} else if (s.started || s.New) && (fresh || back) {
 			s.renew(n)
 		}
 		n.centre = s.centre(v.DataCentre)
@@ -100,6 +117,18 @@
 	s.scores = make([]float64, len(s.servers))
 }
 
+// enter takes a server that states its cold starts. One that was out of service
+// may have turned cold meanwhile.
+func (s *Set) enter(v *server, fresh, back bool, coldFor time.Duration) {
+	if fresh && coldFor > 0 {
+		v.start.coldUntil(s.now, s.now.Add(coldFor))
+	}
+	if back {
+		s.renew(v)
+		v.start.coldUntil(s.now, s.now.Add(s.coldFor))
+	}
+}
+
 // renew takes a server that comes into service as cold, and forgets what
 // belongs to its time before.
 func (s *Set) renew(v *server) {
@@ -138,13 +167,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begin(now)
+	s.asked = s.kind(kind)
 	v := s.pick(tried)
 	if v == nil {
 		s.none++
 		return nil, false
 	}
 	c := s.call(v)
-	c.kind = s.kind(kind)
+	c.kind = s.asked
 	return c, true
 }
 
--- a/internal/choice/start.go
+++ b/internal/choice/start.go
@@ -32,6 +32,7 @@
 	phase  phase
 	since  time.Time
 	asked  time.Time // when the allowance last had nothing
+	until  time.Time // when a stated cold start ends; zero when not stated
 	part   float64
 	credit float64
 }
@@ -44,6 +45,18 @@
 	}
 }
 
+// coldUntil begins a cold start whose end is stated.
+func (s *start) coldUntil(now, until time.Time) {
+	s.phase = phaseCold
+	s.since = now
+	s.until = until
+}
+
+// over says whether a stated cold start has ended.
+func (s *start) over(now time.Time) bool {
+	return s.phase == phaseCold && !s.until.IsZero() && !now.Before(s.until)
+}
+
 // doubt notes a broken connection of a server that is not known as cold.
 func (s *start) doubt(now time.Time) {
 	if s.phase != phaseCold {
@@ -56,6 +69,7 @@
 func (s *start) ramp(now time.Time, credit float64) {
 	s.phase = phaseRamp
 	s.since = now
+	s.until = time.Time{}
 	s.part = rampFirst
 	s.credit = credit
 }
--- a/internal/document/decode.go
+++ b/internal/document/decode.go
@@ -28,6 +28,9 @@
 // left out.
 const optional = "optional"
 
+// hidden is the value of the same tag for a field that no document holds.
+const hidden = "-"
+
 // Document is a decoded text that can tell where each field stands.
 type Document struct {
 	name  string
@@ -114,7 +117,7 @@
 	known := map[string]bool{}
 	for i := range t.NumField() {
 		f := t.Field(i)
-		if !f.IsExported() {
+		if !f.IsExported() || f.Tag.Get("document") == hidden {
 			continue
 		}
 		known[f.Name] = true
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,6 +1,8 @@
 // Package load holds a backend server's report of its own load.
 package load
 
+import "time"
+
 // Header is the response header in which a backend server reports its load, a
 // structured-field dictionary (RFC 9651) such as
 // "running=3, queued=0, slots=6, cold, draining".
@@ -23,6 +25,11 @@
 	Slots int
 	// Cold says that it is in cold start.
 	Cold bool
+	// ColdLeft is how much longer the cold start lasts; 0 when not told.
+	ColdLeft time.Duration
 	// Draining says that it wants no new work.
 	Draining bool
+	// Pace is how long work takes there at this moment, in units of the usual
+	// time; 0 when not told.
+	Pace float64
 }
--- /dev/null
+++ b/internal/roster/limits.go
@@ -0,0 +1,331 @@
+package roster
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/peerpb"
+)
+
+// Parameters of the limits.
+const (
+	// answerFresh is how long a coordinator's answer counts: four reports.
+	answerFresh = 4 * reportEvery
+	// demandWeight is the weight of the latest report in a workspace's demand.
+	demandWeight = 0.4
+	// settleIn is the time in which a bucket's excess or debt is evened out.
+	settleIn = time.Second
+	// unknownVMs stands for the size of a fleet of which nothing is heard yet.
+	unknownVMs = 16
+	// whole is the part that lets everything pass, in thousandths.
+	whole = 1000
+)
+
+// Limit is what a workspace may take over all VMs.
+type Limit struct {
+	// Rate is in requests a second; 0 is no limit.
+	Rate, Burst float64
+}
+
+// Overage is how much more than the limits the fleet may let pass, which pays
+// for not knowing which VMs are alive.
+type Overage struct {
+	// Part is the part of a limit that may pass beyond it.
+	Part float64
+	// Requests may pass beyond that in a window, for each workspace.
+	Requests float64
+}
+
+// Limits shares out the workspaces' limits. Set the exported fields before
+// use. Its methods may be called at once.
+type Limits struct {
+	Overage Overage
+	// Count returns how many VMs there are, this one included, and whether
+	// any other was heard.
+	Count func() (int, bool)
+
+	mu     sync.Mutex
+	limits map[uint64]Limit
+	own    map[uint64]*use
+	// parts hold the newest answer of each coordinator.
+	parts map[netip.AddrPort]*parts
+	// totals are what this VM as a coordinator knows.
+	totals map[uint64]*total
+	seen   map[member.ID]map[uint64]counts
+}
+
+// use is what a workspace did here.
+type use struct {
+	counts
+	// credit is the part of a request that may pass beyond those that did.
+	credit float64
+	// tokens are those of the equal share, for when no coordinator is heard.
+	tokens float64
+	filled time.Time
+}
+
+type counts struct {
+	wanted, granted uint64
+}
+
+// parts is a coordinator's answer.
+type parts struct {
+	at        time.Time
+	reporting uint32
+	of        map[uint64]uint32
+}
+
+// total is what all VMs did of one workspace, as a coordinator knows it.
+type total struct {
+	level  float64
+	filled time.Time
+	// demand is in requests a second.
+	demand float64
+	wanted uint64
+	marked time.Time
+}
+
+// Hash returns how a workspace is named in messages.
+func Hash(workspace string) uint64 {
+	return xxhash.Sum64String(workspace)
+}
+
+// Set puts limits in force, by the hash of the workspace.
+func (l *Limits) Set(limits map[uint64]Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits = limits
+	if l.own == nil {
+		l.own = map[uint64]*use{}
+		l.parts = map[netip.AddrPort]*parts{}
+		l.totals = map[uint64]*total{}
+		l.seen = map[member.ID]map[uint64]counts{}
+	}
+}
+
+// Verdict tells why a request passed or not.
+type Verdict struct {
+	Granted bool
+	// Part is the part of the requests that may pass, and Age the age of the
+	// coordinator's answer; Alone says that there was none.
+	Part  float64
+	Age   time.Duration
+	Alone bool
+}
+
+// Take asks for one request of a workspace.
+func (l *Limits) Take(now time.Time, workspace uint64) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m, ok := l.limits[workspace]
+	if !ok || m.Rate <= 0 {
+		return Verdict{Granted: true, Part: 1}
+	}
+	u := l.own[workspace]
+	if u == nil {
+		u = &use{tokens: 1, filled: now, credit: 1}
+		l.own[workspace] = u
+	}
+	u.wanted++
+	v := l.decide(now, workspace, m, u)
+	if v.Granted {
+		u.granted++
+	}
+	return v
+}
+
+func (l *Limits) decide(now time.Time, workspace uint64, m Limit, u *use) Verdict {
+	n, heard := l.Count()
+	if !heard {
+		n = unknownVMs
+	}
+	u.fill(now, m, n)
+	p := l.best(now)
+	if p == nil {
+		if u.tokens < 1 {
+			return Verdict{Alone: true, Part: 1 / float64(n)}
+		}
+		u.tokens--
+		return Verdict{Granted: true, Alone: true, Part: 1 / float64(n)}
+	}
+	v := Verdict{Part: 1, Age: now.Sub(p.at)}
+	if x, ok := p.of[workspace]; ok {
+		v.Part = float64(x) / whole
+	}
+	u.credit = min(u.credit+v.Part, 1+v.Part)
+	if u.credit >= 1 {
+		u.credit--
+		u.tokens = max(0, u.tokens-1)
+		v.Granted = true
+	}
+	return v
+}
+
+// fill adds the tokens of an equal share of n VMs.
+func (u *use) fill(now time.Time, m Limit, n int) {
+	d := now.Sub(u.filled).Seconds()
+	u.filled = now
+	most := max(1, m.Burst/float64(n))
+	u.tokens = min(most, u.tokens+d*m.Rate/float64(n))
+}
+
+// best returns the fresh answer of the coordinator that hears most VMs.
+func (l *Limits) best(now time.Time) *parts {
+	var b *parts
+	for _, p := range l.parts {
+		if now.Sub(p.at) >= answerFresh {
+			continue
+		}
+		if b == nil || p.reporting > b.reporting || p.reporting == b.reporting && p.at.After(b.at) {
+			b = p
+		}
+	}
+	return b
+}
+
+// uses returns the counts of this VM.
+func (l *Limits) uses() []*peerpb.WorkspaceUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	us := make([]*peerpb.WorkspaceUse, 0, len(l.own))
+	for w, u := range l.own {
+		us = append(us, &peerpb.WorkspaceUse{Workspace: w, Wanted: u.wanted, Granted: u.granted})
+	}
+	return us
+}
+
+// report takes the counts of a VM.
+func (l *Limits) report(now time.Time, from member.ID, us []*peerpb.WorkspaceUse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, known := l.seen[from]
+	if !known {
+		s = map[uint64]counts{}
+		if l.seen != nil {
+			l.seen[from] = s
+		}
+	}
+	for _, u := range us {
+		o := s[u.GetWorkspace()]
+		n := counts{wanted: max(o.wanted, u.GetWanted()), granted: max(o.granted, u.GetGranted())}
+		s[u.GetWorkspace()] = n
+		// What a VM did before it first reported here lies in the past.
+		if known {
+			l.add(now, u.GetWorkspace(), n.wanted-o.wanted, n.granted-o.granted)
+		}
+	}
+}
+
+// add counts requests of a workspace.
+func (l *Limits) add(now time.Time, workspace uint64, wanted, granted uint64) {
+	m, ok := l.limits[workspace]
+	if !ok || m.Rate <= 0 {
+		return
+	}
+	t := l.totals[workspace]
+	if t == nil {
+		t = &total{level: m.Burst, filled: now, marked: now}
+		l.totals[workspace] = t
+	}
+	t.refill(now, m.Burst, m.Rate*(1+l.spent()))
+	t.level -= float64(granted)
+	t.wanted += wanted
+}
+
+// spent is the part of the overage that is used while all VMs are heard.
+func (l *Limits) spent() float64 {
+	return l.Overage.Part / 2
+}
+
+func (t *total) refill(now time.Time, burst, rate float64) {
+	t.level = min(burst, t.level+now.Sub(t.filled).Seconds()*rate)
+	t.filled = now
+}
+
+// measure brings the demand up to date.
+func (t *total) measure(now time.Time) {
+	d := now.Sub(t.marked)
+	if d < reportEvery {
+		return
+	}
+	x := float64(t.wanted) / d.Seconds()
+	t.demand += demandWeight * (x - t.demand)
+	if x > t.demand {
+		t.demand = x
+	}
+	t.wanted, t.marked = 0, now
+}
+
+// grants returns the workspaces of which not everything may pass. Silent VMs
+// are taken to use an equal share, as far as the overage does not pay for it.
+func (l *Limits) grants(now time.Time, reporting, silent int) []*peerpb.WorkspaceGrant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	factor := l.factor(reporting, silent)
+	var gs []*peerpb.WorkspaceGrant
+	for w, t := range l.totals {
+		m := l.limits[w]
+		if m.Rate <= 0 {
+			delete(l.totals, w)
+			continue
+		}
+		rate := m.Rate * factor
+		t.refill(now, m.Burst, rate)
+		t.measure(now)
+		may := max(0, rate+t.level/settleIn.Seconds())
+		if t.demand <= may {
+			continue
+		}
+		gs = append(gs, &peerpb.WorkspaceGrant{Workspace: w, Part: uint32(whole * may / t.demand)})
+	}
+	return gs
+}
+
+// minority is the part of the VMs from which on the silent ones may be the
+// larger side of a cut.
+const minority = 0.45
+
+// overageKept is the part of the limits that is left unused for reports that
+// are late.
+const overageKept = 0.05
+
+// factor returns by how much the limits are to be scaled while some VMs are
+// silent: those may live on, cut off, with an equal share each. The smaller side
+// of a cut takes no more than its own shares.
+func (l *Limits) factor(reporting, silent int) float64 {
+	kept := float64(silent) / float64(max(1, reporting+silent))
+	if kept >= minority {
+		return 1 - kept
+	}
+	return min(1+l.spent(), 1+l.Overage.Part-overageKept-kept)
+}
+
+// answered takes a coordinator's answer.
+func (l *Limits) answered(now time.Time, from netip.AddrPort, a *peerpb.FleetAnswer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.parts == nil {
+		return
+	}
+	p := &parts{at: now, reporting: a.GetReporting(), of: map[uint64]uint32{}}
+	for _, g := range a.GetGrants() {
+		p.of[g.GetWorkspace()] = g.GetPart()
+	}
+	l.parts[from] = p
+	for a, o := range l.parts {
+		if now.Sub(o.at) > forgetAfter {
+			delete(l.parts, a)
+		}
+	}
+}
+
+// ended forgets the counts of a process that is gone.
+func (l *Limits) ended(id member.ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.seen, id)
+}
--- a/internal/table/parse.go
+++ b/internal/table/parse.go
@@ -73,7 +73,7 @@
 	if fs := p.found.All(); len(fs) > 0 {
 		return nil, fs
 	}
-	p.table.build()
+	p.table.Build()
 	return p.table, nil
 }
 
@@ -160,8 +160,9 @@
 	}
 }
 
-// build makes the look-up maps and orders routes by descending prefix length.
-func (t *Table) build() {
+// Build makes the look-up maps and orders routes by descending prefix length.
+// A table that did not come from Parse needs it before use.
+func (t *Table) Build() {
 	t.services = map[string]*Service{}
 	t.centres = map[string]*DataCentre{}
 	t.workspaces = map[string]*Workspace{}
@@ -182,4 +183,9 @@
 	slices.SortStableFunc(t.Routes, func(a, b Route) int {
 		return cmp.Compare(len(b.Prefix), len(a.Prefix))
 	})
+	t.hosts = map[string][]*Route{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
 }
--- a/internal/table/parse_test.go
+++ b/internal/table/parse_test.go
@@ -72,13 +72,13 @@
 		w, ok := t.KeyHolder(table.NewDigest("demo-counter-key"))
 		Expect(ok).To(BeTrue())
 		Expect(w.Name).To(Equal("nyarugenge"))
-		r, ok := t.Route("/till/sales")
+		r, ok := t.Route("", "/till/sales")
 		Expect(ok).To(BeTrue())
 		Expect(r.Idempotent).To(BeFalse())
 		s, _ := t.Service(r.Service)
 		_, ok = s.Row("gasabo")
 		Expect(ok).To(BeTrue())
-		_, ok = t.Route("/tills")
+		_, ok = t.Route("", "/tills")
 		Expect(ok).To(BeFalse())
 	})
 
@@ -100,7 +100,7 @@
 Timeout = "1s"
 `))
 		Expect(fs).To(BeEmpty())
-		r, _ := t.Route("/a/b/c")
+		r, _ := t.Route("", "/a/b/c")
 		Expect(r.Kind).To(Equal("narrow"))
 	})
 
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -27,10 +28,24 @@
 	Routes      []Route
 	Workspaces  []Workspace
 
+	// Sizes bounds what callers may send; the settings' sizes hold where a
+	// field is 0.
+	Sizes Sizes
+
 	services   map[string]*Service
 	centres    map[string]*DataCentre
 	workspaces map[string]*Workspace
 	digests    map[Digest]*Workspace
+	hosts      map[string][]*Route
+}
+
+// Sizes bounds what callers may send.
+type Sizes struct {
+	// Header and Body are in bytes.
+	Header int
+	Body   int64
+	// IdleTimeout is how long a caller may leave a connection idle.
+	IdleTimeout time.Duration
 }
 
 // DataCentre is a room of backend servers and entry VMs.
@@ -77,13 +92,41 @@
 type Server struct {
 	Address    netip.AddrPort
 	DataCentre string
+	// Name is the server's own name for one run of it; empty where servers
+	// are known by address alone.
+	Name string `document:"optional"`
+	// Born is when this run began, by the server's clock; zero when unknown.
+	Born time.Time `document:"-"`
+	// ColdFor is how long the server stays cold after it was entered.
+	ColdFor time.Duration `document:"optional"`
+	// Leaving says that the server announced its end.
+	Leaving bool `document:"optional"`
+}
+
+// Part is one service of a route that is split.
+type Part struct {
+	Service string
+	Weight  float64
 }
 
 // Route maps a path prefix to a service.
 type Route struct {
+	// Host is the host that the route is for; empty for every host.
+	Host string `document:"optional"`
 	// Prefix starts and ends with "/".
 	Prefix  string
 	Service string
+	// Split shares the requests out among services by weight; Service is then
+	// the first of them.
+	Split []Part `document:"optional"`
+	// Attempts is the most servers that one request may be sent to; 0 leaves
+	// it to the program.
+	Attempts int `document:"optional"`
+	// Objective is how soon an answer is wanted; 0 when the table does not
+	// say.
+	Objective time.Duration `document:"optional"`
+	// Priority is the rank of the requests; 0 is served first.
+	Priority int `document:"optional"`
 	// Kind names the kind of request, for metrics and schedules.
 	Kind string
 	// Idempotent says that a request may run more than once.
@@ -99,6 +142,12 @@
 	Name string
 	// KeyDigests are the SHA-256 digests of the keys in force.
 	KeyDigests []Digest
+	// Rate and Burst bound the workspace's requests to all services together,
+	// over all entry VMs; a Rate of 0 is no bound.
+	Rate  float64 `document:"optional"`
+	Burst float64 `document:"optional"`
+	// Priority goes before that of a route; nil when the table has none.
+	Priority *int `document:"-"`
 }
 
 // Row is one line of the table: what a workspace may take of a service.
@@ -148,11 +197,15 @@
 	return nil, false
 }
 
-// Route returns the route with the longest prefix of path.
-func (t *Table) Route(path string) (*Route, bool) {
-	for i := range t.Routes {
-		r := &t.Routes[i]
-		if len(path) >= len(r.Prefix) && path[:len(r.Prefix)] == r.Prefix {
+// Route returns the route of a host with the longest prefix of path. A route
+// without a host serves those hosts that have none of their own.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	rs, ok := t.hosts[host]
+	if !ok {
+		rs = t.hosts[""]
+	}
+	for _, r := range rs {
+		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
 	}
--- a/lentilbend/internal/backend/answer.go
+++ b/lentilbend/internal/backend/answer.go
@@ -28,6 +28,7 @@
 		held = l
 	}
 	w.writeHead(a.response)
+	w.size = held
 	if held > 0 {
 		if _, err := w.exchange.Writer.Write(b[:held]); err != nil {
 			return w.unread(a)
@@ -43,6 +44,7 @@
 		Status:    a.response.StatusCode,
 		Load:      a.load,
 		FirstByte: a.first,
+		Bytes:     w.size,
 	})
 	return passed{}
 }
@@ -52,7 +54,7 @@
 	x.Status = a.StatusCode
 	x.LimitWriting(x.Deadline.Add(writingTime))
 	h := x.Writer.Header()
-	passHeader(h, a.Header)
+	passHeader(h, a.Header, w.dialect.Private)
 	for n := range a.Trailer {
 		h.Add("Trailer", n)
 	}
@@ -72,6 +74,7 @@
 	for {
 		n, err := a.response.Body.Read(b)
 		if n > 0 {
+			w.size += int64(n)
 			if _, e := w.exchange.Writer.Write(b[:n]); e != nil {
 				return w.unread(a)
 			}
--- a/lentilbend/internal/backend/body.go
+++ b/lentilbend/internal/backend/body.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"lentilbend.example/internal/dialect"
+
 	"lentilbend.example/lentilbend/internal/exchange"
 	"lentilbend.example/lentilbend/internal/filter/key"
 )
@@ -29,10 +31,11 @@
 // body is the body of a request on its way to backend servers. A small one is
 // held whole, so that it can be sent again; others are streamed once.
 type body struct {
-	from   io.Reader
-	length int64
-	limit  int64
-	secret exchange.Secret
+	from    io.Reader
+	length  int64
+	limit   int64
+	secret  exchange.Secret
+	dialect *dialect.Dialect
 	// trailer is filled from source when the body has been read.
 	source  http.Header
 	trailer http.Header
@@ -47,7 +50,7 @@
 // long. A small body is read here.
 func newBody(x *exchange.Exchange, limit int64) (*body, error) {
 	r := x.Request
-	b := &body{from: r.Body, length: r.ContentLength, limit: limit, secret: x.Secret}
+	b := &body{from: r.Body, length: r.ContentLength, limit: limit, secret: x.Secret, dialect: x.Spelling()}
 	if r.ContentLength > limit {
 		return b, errTooLarge
 	}
@@ -56,7 +59,7 @@
 		return b, nil
 	}
 	if len(r.Trailer) > 0 {
-		b.source, b.trailer = r.Trailer, announced(r.Trailer)
+		b.source, b.trailer = r.Trailer, announced(r.Trailer, b.dialect.Workspace)
 	}
 	c := http.NewResponseController(x.Writer)
 	_ = c.SetReadDeadline(x.Deadline)
@@ -72,12 +75,12 @@
 
 // announced returns the names of a trailer without values. A caller names no
 // workspace.
-func announced(t http.Header) http.Header {
+func announced(t http.Header, workspace string) http.Header {
 	h := http.Header{}
 	for n := range t {
 		h[n] = nil
 	}
-	delete(h, exchange.WorkspaceHeader)
+	delete(h, workspace)
 	return h
 }
 
@@ -125,7 +128,7 @@
 			b.trailer[n] = vs
 		}
 	}
-	key.StripHeader(b.trailer, b.secret)
+	key.StripHeader(b.trailer, b.secret, b.dialect.Credentials)
 }
 
 // streamed reports whether the body is read from the caller while it is sent.
--- a/lentilbend/internal/backend/budget.go
+++ b/lentilbend/internal/backend/budget.go
@@ -28,6 +28,24 @@
 	}
 }
 
+// Budget bounds the retries of a service where all VMs share one bound.
+type Budget struct {
+	// Part is how many retries each request of a service adds.
+	Part float64
+	// Most returns how many retries may be saved up here.
+	Most func() float64
+}
+
+// asked adds the share that one request gives.
+func (b *budget) asked(s Budget) {
+	most := int64(s.Most() * retryCost)
+	if n := b.left.Load() + int64(s.Part*retryCost); n <= most {
+		b.left.Store(n)
+		return
+	}
+	b.left.Store(most)
+}
+
 // take spends one retry; it returns false when none is left.
 func (b *budget) take() bool {
 	for {
@@ -46,12 +64,12 @@
 	m sync.Map
 }
 
-func (b *budgets) of(service string) *budget {
+func (b *budgets) of(service string, start int64) *budget {
 	if v, ok := b.m.Load(service); ok {
 		return v.(*budget)
 	}
 	n := &budget{}
-	n.left.Store(budgetStart)
+	n.left.Store(start)
 	v, _ := b.m.LoadOrStore(service, n)
 	return v.(*budget)
 }
--- a/lentilbend/internal/backend/chooser.go
+++ b/lentilbend/internal/backend/chooser.go
@@ -33,7 +33,7 @@
 		s := ss[(first+i)%len(ss)]
 		c, ok := x.Table.DataCentre(s.DataCentre)
 		if ok && c.State == table.CentreIn && !slices.Contains(tried, s.Address) {
-			return randomCall{server: s.Address}, true
+			return randomCall{server: s.Address, name: s.Name}, true
 		}
 	}
 	return nil, false
@@ -41,7 +41,9 @@
 
 type randomCall struct {
 	server netip.AddrPort
+	name   string
 }
 
 func (c randomCall) Server() netip.AddrPort      { return c.server }
+func (c randomCall) Name() string                { return c.name }
 func (randomCall) End(time.Time, choice.Outcome) {}
--- a/lentilbend/internal/backend/early.go
+++ b/lentilbend/internal/backend/early.go
@@ -9,18 +9,19 @@
 
 // early passes informational answers (1xx) on while the final one is awaited.
 type early struct {
-	writer http.ResponseWriter
-	trace  httptrace.ClientTrace
+	writer  http.ResponseWriter
+	private []string
+	trace   httptrace.ClientTrace
 
 	mu    sync.Mutex
 	ended bool
 }
 
 // begin passes informational answers on to w until end.
-func (e *early) begin(w http.ResponseWriter) {
+func (e *early) begin(w http.ResponseWriter, private []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.writer = w
+	e.writer, e.private = w, private
 	e.ended = false
 	if e.trace.Got1xxResponse == nil {
 		e.trace.Got1xxResponse = e.pass
@@ -36,7 +37,7 @@
 	}
 	h := e.writer.Header()
 	kept := h.Clone()
-	passHeader(h, http.Header(from))
+	passHeader(h, http.Header(from), e.private)
 	e.writer.WriteHeader(status)
 	clear(h)
 	for n, vs := range kept {
--- a/lentilbend/internal/backend/forward.go
+++ b/lentilbend/internal/backend/forward.go
@@ -20,6 +20,9 @@
 	Chooser Chooser
 	// BodyLimit is the largest body of a request, in bytes.
 	BodyLimit int64
+	// Budget bounds the retries over all VMs together; the zero value bounds
+	// those of this VM by its successes.
+	Budget Budget
 	// Now returns the time; time.Now when nil.
 	Now func() time.Time
 
@@ -35,8 +38,9 @@
 		forwarder: f,
 		exchange:  x,
 		ctx:       ctx,
-		budget:    f.budgets.of(x.Service.Name),
-		incoming:  exchange.Attempt(x.Request.Header),
+		dialect:   x.Spelling(),
+		budget:    f.budget(x.Service.Name),
+		incoming:  x.Attempt(),
 	}
 	start := f.now()
 	b, err := newBody(x, f.BodyLimit)
@@ -51,6 +55,16 @@
 	w.run()
 }
 
+// budget returns the retry budget of a service, with what this request adds.
+func (f *Forwarder) budget(service string) *budget {
+	if f.Budget.Most == nil {
+		return f.budgets.of(service, budgetStart)
+	}
+	b := f.budgets.of(service, 0)
+	b.asked(f.Budget)
+	return b
+}
+
 func (f *Forwarder) now() time.Time {
 	if f.Now == nil {
 		return time.Now()
--- a/lentilbend/internal/backend/header.go
+++ b/lentilbend/internal/backend/header.go
@@ -5,10 +5,6 @@
 	"net/netip"
 	"net/textproto"
 	"strings"
-
-	"lentilbend.example/internal/load"
-
-	"lentilbend.example/lentilbend/internal/exchange"
 )
 
 // hopByHop are the header fields that belong to one connection (RFC 9110,
@@ -19,9 +15,6 @@
 	"Expect", "Http2-Settings",
 }
 
-// internal are fields of answers that are not for callers.
-var internal = []string{load.Header, load.RunHeader, exchange.RunHeader}
-
 // noUserAgent keeps the library from adding its own User-Agent.
 var noUserAgent = []string{""}
 
@@ -50,10 +43,13 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = noUserAgent
 	}
-	w.addForwarded(h, r)
-	delete(h, exchange.WorkspaceHeader)
+	if w.dialect.Forwarded {
+		w.addForwarded(h, r)
+	}
+	delete(h, w.dialect.Workspace)
+	delete(h, w.dialect.Server)
 	if s := w.exchange.Workspace; s != nil {
-		h[exchange.WorkspaceHeader] = w.value(s.Name)
+		h[w.dialect.Workspace] = w.value(s.Name)
 	}
 	w.header = h
 }
@@ -95,9 +91,9 @@
 }
 
 // passHeader copies the header of an answer to the caller's.
-func passHeader(to, from http.Header) {
+func passHeader(to, from http.Header, private []string) {
 	removeHopByHop(from)
-	for _, n := range internal {
+	for _, n := range private {
 		delete(from, n)
 	}
 	for n, vs := range from {
--- a/lentilbend/internal/backend/judge.go
+++ b/lentilbend/internal/backend/judge.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"lentilbend.example/internal/choice"
@@ -71,13 +70,19 @@
 	}
 	first := c.FirstByte()
 	c.Answered(first)
-	if a.Header.Get(load.RunHeader) == load.NotRun {
+	if !w.own(a) {
+		w.reached = true
+		c.Close()
+		w.end(call, choice.Failed{})
+		return broken{}
+	}
+	if w.dialect.NotRun(a.StatusCode, a.Header) {
 		w.finish(c, a)
 		w.end(call, choice.Shed{Load: w.report(a.Header)})
 		return shed{retryAfter: retryAfter(a.Header)}
 	}
 	w.reached = true
-	if a.StatusCode == http.StatusSwitchingProtocols {
+	if w.unfit(a) {
 		c.Close()
 		w.end(call, choice.Failed{})
 		return broken{}
@@ -85,6 +90,37 @@
 	return w.pass(answered{response: a, conn: c, call: call, first: first, load: w.report(a.Header)})
 }
 
+// own reports whether an answer belongs to this request. An answer that came
+// late, or twice, may stand where the next one is expected.
+func (w *work) own(a *http.Response) bool {
+	n := w.dialect.RequestID
+	if n == "" || w.exchange.ID == "" {
+		return true
+	}
+	return a.Header.Get(n) == w.exchange.ID
+}
+
+// unfit reports whether an answer must not be passed on: a success that is not
+// the server's own bytes, or a status that would promise that the request did
+// not run.
+func (w *work) unfit(a *http.Response) bool {
+	if a.StatusCode == http.StatusSwitchingProtocols {
+		return true
+	}
+	if w.dialect.Signature != "" && a.StatusCode/100 == 2 &&
+		(a.Header.Get(w.dialect.Signature) == "" || a.Header.Get("Content-Encoding") != "") {
+		return true
+	}
+	if !w.dialect.StatusPromises {
+		return false
+	}
+	switch a.StatusCode {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return a.StatusCode >= http.StatusInternalServerError && w.mayRunAgain() && len(w.tried) < w.triesAtMost()
+}
+
 // finish reads the short rest of an answer, so that its connection can be used
 // again.
 func (w *work) finish(c *pool.Conn, a *http.Response) {
@@ -97,11 +133,7 @@
 
 // report returns the load that the server reports, or nil.
 func (w *work) report(h http.Header) *load.Report {
-	vs := h[load.Header]
-	if len(vs) == 0 {
-		return nil
-	}
-	r, ok := load.Parse(strings.Join(vs, ", "))
+	r, ok := w.dialect.Load(h)
 	if !ok {
 		return nil
 	}
--- a/lentilbend/internal/backend/once_test.go
+++ b/lentilbend/internal/backend/once_test.go
@@ -163,7 +163,7 @@
 		<-s.ended
 		Expect(s.runs()).To(Equal(1))
 		r, _ := s.last()
-		left, ok, err := exchange.Timeout(r.Header)
+		left, ok, err := (&exchange.Exchange{Request: r}).Timeout()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ok).To(BeTrue())
 		Expect(left.Milliseconds()).To(BeNumerically("<", 100))
--- a/lentilbend/internal/backend/order_test.go
+++ b/lentilbend/internal/backend/order_test.go
@@ -24,6 +24,8 @@
 
 type call netip.AddrPort
 
+func (c call) Name() string { return "" }
+
 func (c call) Server() netip.AddrPort      { return netip.AddrPort(c) }
 func (call) End(time.Time, choice.Outcome) {}
 
--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/dialect"
 	"lentilbend.example/internal/load"
 
 	"lentilbend.example/lentilbend/internal/exchange"
@@ -33,20 +34,25 @@
 	forwarder *Forwarder
 	exchange  *exchange.Exchange
 	ctx       context.Context
+	dialect   *dialect.Dialect
 	budget    *budget
 	body      *body
 	header    http.Header
 	// incoming is the number of the attempt that the caller made.
 	incoming int
 	tried    []netip.AddrPort
+	// server is the own name of the server that the request goes to.
+	server string
 	// reached says that a backend server's application may have seen the
 	// request.
 	reached bool
 	// chosen is when the current server was chosen.
 	chosen time.Time
-	early  early
+	// size is how much of the answer's body was passed on, in bytes.
+	size  int64
+	early early
 	// values back the header fields that are set here, most of the time.
-	values [6]string
+	values [8]string
 	used   int
 	load   load.Report
 	first  [1]netip.AddrPort
@@ -74,7 +80,9 @@
 		last = r
 	}
 	if _, ok := last.(passed); ok {
-		w.budget.succeeded()
+		if w.forwarder.Budget.Most == nil {
+			w.budget.succeeded()
+		}
 		return
 	}
 	w.refuse(last)
@@ -83,7 +91,7 @@
 // repeat decides whether another attempt may follow one that ended with r. It
 // spends the retry budget.
 func (w *work) repeat(r result) bool {
-	if len(w.tried) >= triesAtMost || !w.body.again() {
+	if len(w.tried) >= w.triesAtMost() || !w.body.again() {
 		return false
 	}
 	switch r.(type) {
@@ -99,6 +107,14 @@
 	return false
 }
 
+// triesAtMost returns how many servers the request may be sent to.
+func (w *work) triesAtMost() int {
+	if n := w.exchange.Route.Attempts; n > 0 {
+		return min(n, triesAtMost)
+	}
+	return triesAtMost
+}
+
 // mayRunAgain reports whether a request that may have run may be sent again
 // here. One that was repeated nearer to the caller is not.
 func (w *work) mayRunAgain() bool {
@@ -117,6 +133,7 @@
 		return noServer{}
 	}
 	w.tried = append(w.tried, call.Server())
+	w.server = call.Name()
 	for range connsPerTry {
 		r, again := w.send(call)
 		if !again {
@@ -179,7 +196,7 @@
 }
 
 func (w *work) roundTrip(c *pool.Conn, s *state) (*http.Response, error) {
-	w.early.begin(w.exchange.Writer)
+	w.early.begin(w.exchange.Writer, w.dialect.Private)
 	defer w.early.end()
 	t := pool.Trip{
 		Kind:     w.exchange.Route.Kind,
@@ -194,7 +211,7 @@
 
 // abandon gives a silent request up when the budget pays for another try.
 func (w *work) abandon(c *pool.Conn, s *state) {
-	if len(w.tried) >= triesAtMost || !w.budget.take() {
+	if len(w.tried) >= w.triesAtMost() || !w.budget.take() {
 		return
 	}
 	if s.CompareAndSwap(waiting, isAbandoned) {
@@ -212,8 +229,13 @@
 	if left > 2*returnMargin {
 		left -= returnMargin
 	}
-	w.header[exchange.TimeoutHeader] = w.value(exchange.FormatTimeout(max(0, left)))
-	w.header[exchange.AttemptHeader] = w.value(strconv.Itoa(w.incoming + len(w.tried) - 1))
+	w.header[w.dialect.Timeout] = w.value(w.dialect.FormatTimeout(max(0, left)))
+	if w.dialect.Attempt != "" {
+		w.header[w.dialect.Attempt] = w.value(strconv.Itoa(w.incoming + len(w.tried) - 1))
+	}
+	if w.dialect.Server != "" && w.server != "" {
+		w.header[w.dialect.Server] = w.value(w.server)
+	}
 	r := w.exchange.Request
 	o := &http.Request{
 		Method: r.Method,
--- a/lentilbend/internal/caller/handler.go
+++ b/lentilbend/internal/caller/handler.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"lentilbend.example/internal/dialect"
 	"lentilbend.example/internal/table"
 
 	"lentilbend.example/lentilbend/internal/exchange"
@@ -18,6 +19,8 @@
 	Table func() *table.Table
 	// Next is the row of filters.
 	Next exchange.Handler
+	// Dialect is how callers spell requests; nil for the own interface.
+	Dialect *dialect.Dialect
 	// HeaderLimit is the largest header of a request, in bytes.
 	HeaderLimit int
 	// Metrics takes what became of each request; it may be nil.
@@ -36,9 +39,13 @@
 	x := &exchange.Exchange{
 		Writer:   w,
 		Request:  r,
+		Dialect:  h.Dialect,
 		Received: time.Now(),
 		Table:    h.Table(),
 	}
+	if n := x.Spelling().RequestID; n != "" {
+		x.ID = r.Header.Get(n)
+	}
 	if h.leaving.Load() || chunked(r) {
 		w.Header()["Connection"] = closeConnection
 	}
@@ -52,6 +59,14 @@
 	h.Next.Serve(x)
 }
 
+// headerLimit returns the largest header, by the table where it has one.
+func (h *Handler) headerLimit(t *table.Table) int {
+	if t.Sizes.Header > 0 {
+		return t.Sizes.Header
+	}
+	return h.HeaderLimit
+}
+
 // closeConnection ends an HTTP/1.1 connection after its answer, and makes the
 // library announce the end of an HTTP/2 connection (GOAWAY).
 var closeConnection = []string{"close"}
@@ -65,7 +80,7 @@
 			RetryAfter: time.Second,
 		}
 	}
-	if headerSize(x.Request) > h.HeaderLimit {
+	if headerSize(x.Request) > h.headerLimit(x.Table) {
 		return &exchange.Refusal{
 			Status: http.StatusRequestHeaderFieldsTooLarge, Run: exchange.NotRun, Cause: exchange.CauseTooLarge,
 			Reason: "The request's header is too large.",
--- a/lentilbend/internal/chooser/probe.go
+++ b/lentilbend/internal/chooser/probe.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"lentilbend.example/internal/load"
@@ -21,6 +22,48 @@
 type Prober struct {
 	Services  *Services
 	Transport http.RoundTripper
+	// Load returns the report on an answer; that of the own interface when
+	// nil.
+	Load func(h http.Header) (load.Report, bool)
+
+	asked atomic.Uint64
+}
+
+// Probes just before a choice.
+const (
+	// askedServers is how many servers are asked: the chance that all of them
+	// are slow at the moment is small when a quarter is.
+	askedServers = 3
+	// askTimeout is how long the choice waits for the answers, which come at
+	// once from a server that is well.
+	askTimeout = 12 * time.Millisecond
+	// askAge is the age up to which a report makes a probe needless.
+	askAge = 40 * time.Millisecond
+)
+
+// Ask asks the best servers for a request and waits for their answers, but not
+// for long; a late answer still counts for later choices.
+func (p *Prober) Ask(v *service, kind string, tried []netip.AddrPort) {
+	as := v.set.Candidates(time.Now(), kind, tried, askedServers, askAge)
+	if len(as) == 0 {
+		return
+	}
+	done := make(chan struct{}, len(as))
+	for _, a := range as {
+		go func() {
+			p.probe(context.Background(), v, a)
+			done <- struct{}{}
+		}()
+	}
+	t := time.NewTimer(askTimeout)
+	defer t.Stop()
+	for range as {
+		select {
+		case <-done:
+		case <-t.C:
+			return
+		}
+	}
 }
 
 // Step sends the probes that are due now, at most one for each service.
@@ -48,13 +91,18 @@
 	if err != nil {
 		return nil
 	}
+	p.asked.Add(1)
 	w, err := p.Transport.RoundTrip(q)
 	if err != nil {
 		return nil
 	}
 	defer func() { _ = w.Body.Close() }()
 	_, _ = io.CopyN(io.Discard, w.Body, probeBody)
-	r, ok := load.Parse(w.Header.Get(load.Header))
+	parse := p.Load
+	if parse == nil {
+		parse = func(h http.Header) (load.Report, bool) { return load.Parse(h.Get(load.Header)) }
+	}
+	r, ok := parse(w.Header)
 	if !ok || w.StatusCode != http.StatusOK {
 		return nil
 	}
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -29,6 +29,17 @@
 	Table func() *table.Table
 	// VMs returns the newest VM list and whether there is one.
 	VMs func() (platform.VMs, bool)
+	// Entries returns how many entry VMs there are; nil where the VM list
+	// tells.
+	Entries func() int
+	// Ask asks servers for their load just before a choice; nil for no such
+	// probes.
+	Ask func(v *service, kind string, tried []netip.AddrPort)
+	// Home and FarCost weigh answers from other data centres; see choice.Set.
+	Home    string
+	FarCost time.Duration
+	// Stated says that servers state their cold starts.
+	Stated bool
 	// Cold and Probes return the allowances of a service; nil for this VM's
 	// equal part of the table's rates.
 	Cold   func(service string) choice.Allowance
@@ -68,6 +79,10 @@
 			return nil, false
 		}
 	}
+	if s.Ask != nil {
+		s.Ask(v, kind(x), tried)
+		now = time.Now()
+	}
 	return v.set.Choose(now, kind(x), tried)
 }
 
@@ -116,7 +131,7 @@
 	_ = level.Info(s.Logger).Log("msg", "Choosing servers.", "service", name)
 	v := &service{cold: &choice.Local{}, probes: &choice.Local{Together: true}}
 	v.gate = &fair.Gate{}
-	v.set = &choice.Set{Service: name, New: s.services.Load() != nil, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake}
+	v.set = &choice.Set{Service: name, New: s.services.Load() != nil, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake, Home: s.Home, FarCost: s.FarCost}
 	if s.Cold != nil {
 		v.set.Cold = s.Cold(name)
 	}
@@ -146,7 +161,8 @@
 	}
 	v.gate.SetLeast(surePart * float64(in*c.Slots) / float64(max(1, l.entries)))
 	v.set.Update(now, choice.Limits{
-		Slots: c.Slots, ColdFor: c.ColdFor, VMs: l.entries, Probed: c.ProbeRate > 0 && c.LoadPath != "",
+		Slots: c.Slots, ColdFor: c.ColdFor, VMs: l.entries, Stated: s.Stated,
+		Probed: (c.ProbeRate > 0 || s.Entries != nil) && c.LoadPath != "",
 	}, ss)
 }
 
@@ -164,6 +180,11 @@
 
 func (s *Services) list() list {
 	l := list{backends: map[netip.AddrPort]platform.VM{}}
+	if s.Entries != nil {
+		l.entries = s.Entries()
+		l.revision = uint64(l.entries)
+		return l
+	}
 	vs, ok := s.VMs()
 	if !ok {
 		return l
@@ -187,8 +208,10 @@
 	return choice.Server{
 		Address:    a.Address,
 		DataCentre: a.DataCentre,
+		Name:       a.Name,
+		ColdFor:    a.ColdFor,
 		Out:        out,
-		Leaving:    v.Leaving,
+		Leaving:    v.Leaving || a.Leaving,
 		Missing:    !ok && len(l.backends) > 0,
 	}
 }
--- a/lentilbend/internal/exchange/exchange.go
+++ b/lentilbend/internal/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"lentilbend.example/internal/dialect"
 	"lentilbend.example/internal/table"
 )
 
@@ -14,6 +15,8 @@
 type Exchange struct {
 	Writer  http.ResponseWriter
 	Request *http.Request
+	// Dialect is how the request and its answer are spelled; nil for Own.
+	Dialect *dialect.Dialect
 	// Received is when the request's header was read.
 	Received time.Time
 	// Deadline is when the request must have ended.
@@ -23,6 +26,8 @@
 	// Route and Service are set by the route filter.
 	Route   *table.Route
 	Service *table.Service
+	// ID names the request in logs; empty when the caller gave no name.
+	ID string
 	// Workspace is set by the key filter; nil on a route open to all.
 	Workspace *table.Workspace
 	// Row is what Workspace may take of Service; nil when it has none.
@@ -52,6 +57,14 @@
 	_ = http.NewResponseController(x.Writer).SetWriteDeadline(t)
 }
 
+// Spelling returns the dialect of the exchange.
+func (x *Exchange) Spelling() *dialect.Dialect {
+	if x.Dialect == nil {
+		return Own
+	}
+	return x.Dialect
+}
+
 // Handler serves an exchange.
 type Handler interface {
 	Serve(x *Exchange)
--- a/lentilbend/internal/exchange/refusal.go
+++ b/lentilbend/internal/exchange/refusal.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 )
 
@@ -63,16 +61,38 @@
 	Run    Run    `json:"run"`
 }
 
+// promised returns a status that says of the request's run what is known: some
+// statuses promise that it did not run, other failures promise nothing.
+func promised(r Refusal) int {
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if r.Run != NotRun {
+			return http.StatusBadGateway
+		}
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		if r.Run == NotRun {
+			return http.StatusServiceUnavailable
+		}
+	}
+	return r.Status
+}
+
 // Refuse writes the refusal as application/problem+json.
 func (x *Exchange) Refuse(r Refusal) {
+	d := x.Spelling()
+	if d.StatusPromises {
+		r.Status = promised(r)
+	}
 	x.Status, x.Refused = r.Status, &r
 	x.LimitWriting(time.Now().Add(refusalTimeout))
 	h := x.Writer.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Cache-Control", "no-store")
-	h.Set(RunHeader, string(r.Run))
+	if d.Run != "" {
+		h.Set(d.Run, string(r.Run))
+	}
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+		h.Set("Retry-After", d.FormatRetryAfter(r.RetryAfter))
 	}
 	if r.Status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
--- a/lentilbend/internal/exchange/timeout.go
+++ b/lentilbend/internal/exchange/timeout.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strconv"
 	"time"
 )
@@ -27,18 +26,18 @@
 
 // Timeout returns the time that the caller waits; false when it names none.
 // The error tells what is wrong with the header.
-func Timeout(h http.Header) (time.Duration, bool, error) {
-	vs := h[TimeoutHeader]
+func (x *Exchange) Timeout() (time.Duration, bool, error) {
+	n := x.Spelling().Timeout
+	vs := x.Request.Header[n]
 	if len(vs) == 0 {
 		return 0, false, nil
 	}
 	if len(vs) > 1 {
-		return 0, false, fmt.Errorf("exchange: %s stands %d times", TimeoutHeader, len(vs))
+		return 0, false, fmt.Errorf("exchange: %s stands %d times", n, len(vs))
 	}
-	d, err := time.ParseDuration(vs[0])
-	if err != nil || d < 0 || d > timeoutLongest {
-		return 0, false, fmt.Errorf("exchange: %s must be a duration such as \"250ms\", at most %s",
-			TimeoutHeader, timeoutLongest)
+	d, err := x.Spelling().ParseTimeout(vs[0])
+	if err != nil {
+		return 0, false, fmt.Errorf("exchange: %s: %w", n, err)
 	}
 	return d, true, nil
 }
@@ -54,14 +53,15 @@
 
 // Attempt returns the number of the attempt, 1 when the header is absent. A
 // malformed header counts as a repeated attempt, which is not repeated again.
-func Attempt(h http.Header) int {
-	vs := h[AttemptHeader]
-	if len(vs) == 0 {
+func (x *Exchange) Attempt() int {
+	n := x.Spelling().Attempt
+	vs := x.Request.Header[n]
+	if n == "" || len(vs) == 0 {
 		return 1
 	}
-	n, err := strconv.Atoi(vs[0])
-	if err != nil || len(vs) > 1 || n < 1 || n > attemptMost {
+	a, err := strconv.Atoi(vs[0])
+	if err != nil || len(vs) > 1 || a < 1 || a > attemptMost {
 		return attemptMost
 	}
-	return n
+	return a
 }
--- a/lentilbend/internal/exchange/timeout_test.go
+++ b/lentilbend/internal/exchange/timeout_test.go
@@ -12,9 +12,18 @@
 	"lentilbend.example/lentilbend/internal/exchange"
 )
 
+// with returns the exchange of a request with a header.
+func with(h http.Header) *exchange.Exchange {
+	return &exchange.Exchange{Request: &http.Request{Header: h}}
+}
+
+func timeout(h http.Header) (time.Duration, bool, error) {
+	return with(h).Timeout()
+}
+
 var _ = DescribeTable("Timeout",
 	func(want time.Duration, given, wrong bool, vs ...string) {
-		d, ok, err := exchange.Timeout(http.Header{exchange.TimeoutHeader: vs})
+		d, ok, err := timeout(http.Header{exchange.TimeoutHeader: vs})
 		Expect(err != nil).To(Equal(wrong))
 		Expect(ok).To(Equal(given))
 		Expect(d).To(Equal(want))
@@ -30,7 +39,7 @@
 
 var _ = DescribeTable("Attempt",
 	func(want int, vs ...string) {
-		Expect(exchange.Attempt(http.Header{exchange.AttemptHeader: vs})).To(Equal(want))
+		Expect(with(http.Header{exchange.AttemptHeader: vs}).Attempt()).To(Equal(want))
 	},
 	Entry("absent", 1),
 	Entry("given", 3, "3"),
@@ -65,14 +74,14 @@
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
-		d, ok, err := exchange.Timeout(http.Header{exchange.TimeoutHeader: {s}})
+		d, ok, err := timeout(http.Header{exchange.TimeoutHeader: {s}})
 		if err != nil {
 			return
 		}
 		if !ok || d < 0 || d > 24*time.Hour {
 			t.Fatalf("%q gave %s, %t", s, d, ok)
 		}
-		n, ok, err := exchange.Timeout(http.Header{exchange.TimeoutHeader: {exchange.FormatTimeout(d)}})
+		n, ok, err := timeout(http.Header{exchange.TimeoutHeader: {exchange.FormatTimeout(d)}})
 		if err != nil || !ok || n > d || d-n >= time.Millisecond {
 			t.Fatalf("%s was passed on as %s: %v", d, n, err)
 		}
--- a/lentilbend/internal/filter/key/key.go
+++ b/lentilbend/internal/filter/key/key.go
@@ -4,16 +4,12 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"lentilbend.example/internal/table"
 
 	"lentilbend.example/lentilbend/internal/exchange"
 )
 
-// scheme is the authentication scheme of a key, compared without case.
-const scheme = "bearer"
-
 // MaxLength is the longest key that is looked up, in bytes.
 const MaxLength = 1024
 
@@ -23,7 +19,8 @@
 
 // Filter sets the workspace and row of x and takes the key out of the request.
 func (Filter) Filter(x *exchange.Exchange, next exchange.Handler) {
-	k, ok := Parse(x.Request.Header)
+	k, ok := x.Spelling().Key(x.Request.Header)
+	ok = ok && len(k) <= MaxLength
 	x.Secret = exchange.NewSecret(k)
 	if ok {
 		x.Workspace, ok = x.Table.KeyHolder(table.NewDigest(k))
@@ -37,7 +34,7 @@
 		})
 		return
 	}
-	if !Strip(x.Request, x.Secret) {
+	if !Strip(x.Request, x.Secret, x.Spelling().Credentials) {
 		x.Refuse(exchange.Refusal{
 			Status: http.StatusBadRequest,
 			Run:    exchange.NotRun,
@@ -51,17 +48,3 @@
 	}
 	next.Serve(x)
 }
-
-// Parse returns the key of the only Authorization header.
-func Parse(h http.Header) (string, bool) {
-	vs := h["Authorization"]
-	if len(vs) != 1 {
-		return "", false
-	}
-	s, k, ok := strings.Cut(vs[0], " ")
-	k = strings.Trim(k, " ")
-	if !ok || !strings.EqualFold(s, scheme) || k == "" || len(k) > MaxLength {
-		return "", false
-	}
-	return k, true
-}
--- a/lentilbend/internal/filter/key/key_test.go
+++ b/lentilbend/internal/filter/key/key_test.go
@@ -20,8 +20,8 @@
 	}
 	f.Fuzz(func(t *testing.T, value, query string) {
 		h := http.Header{"Authorization": {value}, "X-Query": {query}, "Cookie": {query}}
-		k, ok := key.Parse(h)
-		if !ok {
+		k, ok := exchange.Own.Key(h)
+		if !ok || len(k) > key.MaxLength {
 			return
 		}
 		if k == "" || len(k) > key.MaxLength || !strings.Contains(value, k) {
@@ -33,7 +33,7 @@
 		}
 		r.Header, r.URL.RawQuery = h, query
 		s := exchange.NewSecret(k)
-		if !key.Strip(r, s) {
+		if !key.Strip(r, s, exchange.Own.Credentials) {
 			return
 		}
 		if s.In(r.URL.RawQuery) {
--- a/lentilbend/internal/filter/key/strip.go
+++ b/lentilbend/internal/filter/key/strip.go
@@ -9,17 +9,18 @@
 
 // Strip takes the key out of the header and query of r. It returns false when
 // the key stands where it cannot be taken out.
-func Strip(r *http.Request, k exchange.Secret) bool {
-	StripHeader(r.Header, k)
+func Strip(r *http.Request, k exchange.Secret, credentials []string) bool {
+	StripHeader(r.Header, k, credentials)
 	r.URL.RawQuery = stripPairs(r.URL.RawQuery, "&", k)
 	return !k.In(r.URL.Path) && !k.In(r.URL.RawPath) && !k.In(r.Host) && !k.In(r.Method)
 }
 
 // StripHeader deletes credentials and all values that hold the key from a
 // header or trailer.
-func StripHeader(h http.Header, k exchange.Secret) {
-	delete(h, "Authorization")
-	delete(h, "Proxy-Authorization")
+func StripHeader(h http.Header, k exchange.Secret, credentials []string) {
+	for _, n := range credentials {
+		delete(h, n)
+	}
 	for n, vs := range h {
 		if k.In(n) {
 			delete(h, n)
--- a/lentilbend/internal/filter/route/route.go
+++ b/lentilbend/internal/filter/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 
@@ -20,7 +21,7 @@
 		refuse(x, "The path is not in normal form: it has an empty, \".\" or \"..\" segment.")
 		return
 	}
-	r, ok := x.Table.Route(x.Request.URL.Path)
+	r, ok := x.Table.Route(host(x.Request.Host), x.Request.URL.Path)
 	if !ok {
 		x.Refuse(exchange.Refusal{
 			Status: http.StatusNotFound,
@@ -35,10 +36,18 @@
 		return
 	}
 	x.Route = r
-	x.Service, _ = x.Table.Service(r.Service)
-	t, given, err := exchange.Timeout(x.Request.Header)
+	if x.Service, ok = x.Table.Service(pick(r)); !ok {
+		x.Refuse(exchange.Refusal{
+			Status: http.StatusServiceUnavailable,
+			Run:    exchange.NotRun,
+			Cause:  exchange.CauseNoServer,
+			Reason: "The route's service is not in the table.",
+		})
+		return
+	}
+	t, given, err := x.Timeout()
 	if err != nil {
-		refuse(x, "The header Request-Timeout is malformed.")
+		refuse(x, "The header "+x.Spelling().Timeout+" is malformed.")
 		return
 	}
 	x.Deadline = x.Received.Add(r.Timeout)
@@ -48,6 +57,32 @@
 	next.Serve(x)
 }
 
+// host returns the host that a request names, without a port.
+func host(h string) string {
+	if i := strings.LastIndexByte(h, ':'); i >= 0 && !strings.HasSuffix(h, "]") {
+		h = h[:i]
+	}
+	return strings.ToLower(h)
+}
+
+// pick returns the service of a request, by chance where the route is split.
+func pick(r *table.Route) string {
+	total := 0.0
+	for _, p := range r.Split {
+		total += p.Weight
+	}
+	if total <= 0 {
+		return r.Service
+	}
+	n := rand.Float64() * total
+	for _, p := range r.Split {
+		if n -= p.Weight; n < 0 {
+			return p.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
 func refuse(x *exchange.Exchange, reason string) {
 	x.Refuse(exchange.Refusal{
 		Status: http.StatusBadRequest,
@@ -80,6 +115,6 @@
 	if x.Request.URL.RawPath == "" {
 		return true
 	}
-	e, ok := x.Table.Route(x.Request.URL.RawPath)
+	e, ok := x.Table.Route(host(x.Request.Host), x.Request.URL.RawPath)
 	return ok && e == r
 }
--- /dev/null
+++ b/lentilbend/internal/filter/throttle/throttle.go
@@ -0,0 +1,79 @@
+// Package throttle lets a request pass as far as its workspace's rate over all
+// services and entry VMs allows.
+package throttle
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lentilbend.example/internal/roster"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+)
+
+// CauseRate is the cause of the filter's refusals.
+const CauseRate exchange.Cause = "rate"
+
+// retryAfter is when a refused caller may come back: a workspace that is past
+// its rate stays so for about that long.
+const retryAfter = time.Second
+
+// Filter refuses requests beyond their workspace's rate. The key must be known
+// before it. Set the exported fields before use.
+type Filter struct {
+	Limits *roster.Limits
+	Logger log.Logger
+
+	refused atomic.Uint64
+	alone   atomic.Uint64
+}
+
+// Filter passes x on when its workspace is within its rate.
+func (f *Filter) Filter(x *exchange.Exchange, next exchange.Handler) {
+	if x.Workspace == nil || x.Workspace.Rate <= 0 {
+		next.Serve(x)
+		return
+	}
+	v := f.Limits.Take(time.Now(), roster.Hash(x.Workspace.Name))
+	if v.Alone {
+		f.alone.Add(1)
+	}
+	if v.Granted {
+		next.Serve(x)
+		return
+	}
+	f.refused.Add(1)
+	_ = level.Info(f.Logger).Log("msg", "Refused over the rate.", "id", x.ID, "workspace", x.Workspace.Name,
+		"part", v.Part, "age", v.Age, "alone", v.Alone, "table", x.Table.Revision)
+	x.Refuse(exchange.Refusal{
+		Status:     http.StatusTooManyRequests,
+		Run:        exchange.NotRun,
+		Cause:      CauseRate,
+		Reason:     "The workspace is past its rate.",
+		RetryAfter: retryAfter,
+	})
+}
+
+var (
+	refusedTotal = prometheus.NewDesc("lentilbend_throttle_refused_total",
+		"Requests refused beyond their workspace's rate.", nil, nil)
+	aloneTotal = prometheus.NewDesc("lentilbend_throttle_alone_total",
+		"Requests judged by an equal share, since no coordinator was heard.", nil, nil)
+)
+
+// Describe sends the descriptions of the metrics.
+func (f *Filter) Describe(c chan<- *prometheus.Desc) {
+	c <- refusedTotal
+	c <- aloneTotal
+}
+
+// Collect sends the metrics.
+func (f *Filter) Collect(c chan<- prometheus.Metric) {
+	c <- prometheus.MustNewConstMetric(refusedTotal, prometheus.CounterValue, float64(f.refused.Load()))
+	c <- prometheus.MustNewConstMetric(aloneTotal, prometheus.CounterValue, float64(f.alone.Load()))
+}
--- a/lentilbend/internal/operator/server.go
+++ b/lentilbend/internal/operator/server.go
@@ -69,6 +69,9 @@
 	m := chi.NewRouter()
 	m.Get("/healthz", s.health)
 	m.Get("/readyz", s.ready)
+	if p := s.Settings.ReadyPath; p != "" {
+		m.Get(p, s.ready)
+	}
 	m.Get("/dump", s.dump)
 	m.Put("/log-level/{level}", s.level)
 	m.Mount("/debug", middleware.Profiler())
--- a/lentilbend/internal/peer/link.go
+++ b/lentilbend/internal/peer/link.go
@@ -134,6 +134,8 @@
 	to.Limit = append(to.Limit, f.Limit...)
 	to.Config = append(to.Config, f.Config...)
 	to.Load = append(to.Load, f.Load...)
+	to.Reports = append(to.Reports, f.Reports...)
+	to.Answers = append(to.Answers, f.Answers...)
 }
 
 // take returns the next frame to send.
@@ -227,5 +229,5 @@
 
 // size returns the number of messages in a frame.
 func size(f *peerpb.Frame) int {
-	return len(f.Member) + len(f.Limit) + len(f.Config) + len(f.Load)
+	return len(f.Member) + len(f.Limit) + len(f.Config) + len(f.Load) + len(f.Reports) + len(f.Answers)
 }
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -27,6 +27,11 @@
 	// spread is the longest wait before a pull, so that pulls spread over
 	// all VMs that have the version by then.
 	spread = 200 * time.Millisecond
+	// beatEvery is the time between announcements of a VM that reads the
+	// platform: a third of the time for which one counts.
+	beatEvery = 400 * time.Millisecond
+	// maxReadAge bounds the age of a read that is told.
+	maxReadAge = time.Hour
 	// pullTimeout bounds one pull.
 	pullTimeout = 3 * time.Second
 )
@@ -47,6 +52,9 @@
 	Logger log.Logger
 	// Members returns the entry VMs that answer.
 	Members func() []netip.AddrPort
+	// ReadAge returns how long ago this VM last read the platform to its newest
+	// revision; false when it does not read. It may be nil.
+	ReadAge func(now time.Time) (time.Duration, bool)
 	// Resync is called when a peer holds other values of the same revision.
 	Resync func(ctx context.Context)
 
@@ -62,6 +70,9 @@
 type Announced struct {
 	Table store.Version
 	List  uint64
+	// Reads says that the peer reads the platform, and Read when it last did.
+	Reads bool
+	Read  time.Time
 }
 
 // Run announces and pulls until ctx ends.
@@ -75,6 +86,9 @@
 	var g sync.WaitGroup
 	g.Go(func() { r.gossip(ctx) })
 	g.Go(func() { r.pulls(ctx) })
+	if r.ReadAge != nil {
+		g.Go(func() { r.beat(ctx) })
+	}
 	g.Wait()
 	return nil
 }
@@ -86,6 +100,9 @@
 			Table: store.Version{Revision: m.GetAccepted(), Digest: m.GetDigest()},
 			List:  m.GetList(),
 		}
+		if n := m.GetReadAge(); n > 0 {
+			a.Reads, a.Read = true, time.Now().Add(-time.Duration(n-1)*time.Millisecond)
+		}
 		r.note(from, a)
 		if a.Table.Revision < r.Store.Accepted().Revision || a.List < r.List.Revision() {
 			r.announce(from)
@@ -145,6 +162,11 @@
 func (r *Relay) announce(to netip.AddrPort) {
 	v := r.Store.Accepted()
 	m := &peerpb.ConfigMessage{Accepted: v.Revision, Digest: v.Digest, List: r.List.Revision()}
+	if r.ReadAge != nil {
+		if d, ok := r.ReadAge(time.Now()); ok {
+			m.ReadAge = uint32(min(d.Milliseconds(), maxReadAge.Milliseconds())) + 1
+		}
+	}
 	r.Peers.Send(to, &peerpb.Frame{Config: []*peerpb.ConfigMessage{m}})
 }
 
@@ -154,6 +176,31 @@
 	}
 }
 
+// Covered returns how long ago a peer last read the platform to a revision that
+// is in force here; false when no peer reads.
+func (r *Relay) Covered() (time.Duration, bool) {
+	v := r.Store.Accepted().Revision
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	least, found := time.Duration(0), false
+	for _, a := range r.heard {
+		if d := now.Sub(a.Read); a.Reads && a.Table.Revision <= v && (!found || d < least) {
+			least, found = d, true
+		}
+	}
+	return least, found
+}
+
+// beat tells the peers at short intervals that this VM reads the platform.
+func (r *Relay) beat(ctx context.Context) {
+	for timer.Sleep(ctx, beatEvery) {
+		if _, ok := r.ReadAge(time.Now()); ok {
+			r.announceAll()
+		}
+	}
+}
+
 // gossip announces to a random peer at intervals, so that a lost announcement
 // is made good.
 func (r *Relay) gossip(ctx context.Context) {
--- a/lentilbend/internal/serve/choice.go
+++ b/lentilbend/internal/serve/choice.go
@@ -32,6 +32,7 @@
 		Table:  p.store.Table,
 		VMs:    p.list.Newest,
 	}
+	p.prober = &chooser.Prober{Services: p.services, Transport: &http.Transport{DisableKeepAlives: true}}
 	p.news = make(chan struct{}, 1)
 	p.share = &share.Filter{Gate: p.services.Gate}
 	p.registry.MustRegister(p.services, p.share)
@@ -73,7 +74,7 @@
 }
 
 func (p *Process) probe(ctx context.Context) {
-	b := &chooser.Prober{Services: p.services, Transport: &http.Transport{DisableKeepAlives: true}}
+	b := p.prober
 	t := time.NewTicker(probeEvery)
 	defer t.Stop()
 	for {
--- a/lentilbend/internal/serve/config.go
+++ b/lentilbend/internal/serve/config.go
@@ -21,14 +21,6 @@
 	s := p.Settings
 	p.store = &store.Store{Bus: p.bus, Logger: p.root.Part("store")}
 	p.list = &platform.List{Bus: p.bus}
-	p.reader = &platform.Reader{
-		Client:  &platform.Client{Addresses: s.Platform.Addresses, Timeout: s.Platform.Timeout},
-		Store:   p.store,
-		List:    p.list,
-		Plan:    p.plan(),
-		Logger:  p.root.Part("platform"),
-		Members: p.answering,
-	}
 	p.relay = &relay.Relay{
 		Store:   p.store,
 		List:    p.list,
@@ -36,14 +28,27 @@
 		Peers:   p.hub,
 		Logger:  p.root.Part("relay"),
 		Members: p.answering,
-		Resync:  p.reader.Resync,
 	}
 	p.store.Register(p.registry, p.inForce)
-	p.reader.Register(p.registry)
 	p.parts["Store"] = p.store
+	p.parts["Relay"] = p.relay
+	if p.isOpen() {
+		p.buildWatcher()
+		p.relay.ReadAge = p.watcher.ReadAge
+		return
+	}
+	p.reader = &platform.Reader{
+		Client:  &platform.Client{Addresses: s.Platform.Addresses, Timeout: s.Platform.Timeout},
+		Store:   p.store,
+		List:    p.list,
+		Plan:    p.plan(),
+		Logger:  p.root.Part("platform"),
+		Members: p.answering,
+	}
+	p.relay.Resync = p.reader.Resync
+	p.reader.Register(p.registry)
 	p.parts["VmList"] = p.list
 	p.parts["Platform"] = p.reader
-	p.parts["Relay"] = p.relay
 }
 
 func (p *Process) plan() platform.Plan {
@@ -57,5 +62,8 @@
 
 // answering returns the entry VMs that answer.
 func (p *Process) answering() []netip.AddrPort {
+	if p.isOpen() {
+		return p.open.State().Neighbours
+	}
 	return p.fleet.Answering()
 }
--- a/lentilbend/internal/serve/fleet.go
+++ b/lentilbend/internal/serve/fleet.go
@@ -51,6 +51,10 @@
 func (p *Process) joinFleet() {
 	p.hub.Answer = p.relay.Answer
 	news := &loadNews{services: p.services, peers: p.hub}
+	if p.isOpen() {
+		p.hub.Handlers = []peer.Handler{p.open, p.relay, news}
+		return
+	}
 	p.hub.Handlers = []peer.Handler{p.fleet, p.limits, p.relay, news}
 	p.reader.OnList = p.onList
 }
--- /dev/null
+++ b/lentilbend/internal/serve/open.go
@@ -0,0 +1,169 @@
+package serve
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/event"
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/roster"
+	"lentilbend.example/internal/table"
+	deployment "lentilbend.example/platform"
+
+	"lentilbend.example/lentilbend/internal/backend"
+	"lentilbend.example/lentilbend/internal/filter/throttle"
+	"lentilbend.example/lentilbend/internal/openfleet"
+	"lentilbend.example/lentilbend/internal/peer"
+	"lentilbend.example/lentilbend/internal/platform"
+	"lentilbend.example/lentilbend/internal/settings"
+)
+
+// budgetKept is the part of a bound over all VMs that is shared out; the rest is
+// for VMs that do not know of each other yet.
+const budgetKept = 0.8
+
+// probeIdle is how long a connection for probes is kept: servers close theirs
+// after some ten seconds.
+const probeIdle = 5 * time.Second
+
+// peerTimes are the times of streams in a fleet without a list, where a VM must
+// serve within a second of its start.
+var peerTimes = peer.Times{
+	Dial:        time.Second,
+	Silent:      time.Second,
+	Acknowledge: 300 * time.Millisecond,
+	Fallback:    100 * time.Millisecond,
+	Backoff:     50 * time.Millisecond,
+	BackoffMax:  time.Second,
+}
+
+// open tells whether the platform lists no VMs, so that the parts of this file
+// stand in for the membership with promises.
+func (p *Process) isOpen() bool {
+	return p.Settings.Platform.Form == settings.FormStore
+}
+
+// buildOpenFleet makes the streams to the other entry VMs and the roster.
+func (p *Process) buildOpenFleet() {
+	s := p.Settings
+	id := member.ID{Address: s.Peer.Address, Incarnation: uint64(time.Now().UnixNano())}
+	p.hub = &peer.Hub{
+		Self:       id,
+		DataCentre: s.DataCentre,
+		Settings:   s.Peer,
+		Logger:     p.root.Part("peer"),
+		Times:      peerTimes,
+	}
+	p.workspaces = &roster.Limits{
+		Overage: roster.Overage{Part: s.Fleet.RateOverage, Requests: s.Fleet.RateTolerance},
+		Count: func() (int, bool) {
+			t := p.open.State()
+			return t.Count, t.Joined
+		},
+	}
+	p.workspaces.Set(nil)
+	p.open = &openfleet.Fleet{
+		Roster: &roster.Roster{
+			Self:     id,
+			Capacity: int(s.Fleet.Capacity),
+			Seeds:    s.Peer.Seeds,
+			Limits:   p.workspaces,
+		},
+		Transport: p.hub,
+		Bus:       p.bus,
+		Logger:    p.root.Part("fleet"),
+	}
+	p.open.Register(p.registry)
+	p.hub.Register(p.registry)
+	p.parts["Fleet"] = p.open
+	p.parts["Peers"] = p.hub
+}
+
+// buildWatcher makes the part that reads the store.
+func (p *Process) buildWatcher() {
+	s := p.Settings
+	p.store.Parse = deployment.Parse
+	p.watcher = &platform.Watcher{
+		Source:      &deployment.Source{Address: s.Platform.Addresses[0], Timeout: s.Platform.Timeout},
+		Store:       p.store,
+		Logger:      p.root.Part("platform"),
+		Forgotten:   func(err error) bool { return errors.Is(err, deployment.ErrForgotten) },
+		Coordinates: func() bool { return p.open.State().Coordinates },
+		Covered:     func() (time.Duration, bool) { return p.relay.Covered() },
+		VMs:         func() int { return len(p.open.State().Live) },
+	}
+	p.watcher.Register(p.registry)
+	p.parts["Platform"] = p.watcher
+}
+
+// buildOpenLimits connects the choice of servers and the workspaces' limits with
+// the roster.
+func (p *Process) buildOpenLimits() {
+	p.services.Stated = true
+	p.services.Entries = func() int { return p.open.State().Count }
+	p.services.Cold = func(string) choice.Allowance { return p.coldSponsor() }
+	p.services.Home = p.Settings.DataCentre
+	p.services.FarCost = p.Settings.Fleet.FarCost
+	p.prober.Load = deployment.Dialect().Load
+	p.prober.Transport = &http.Transport{
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     probeIdle,
+		DisableCompression:  true,
+	}
+	p.services.Ask = p.prober.Ask
+	p.throttle = &throttle.Filter{Limits: p.workspaces, Logger: p.root.Part("throttle")}
+	p.registry.MustRegister(p.throttle)
+	p.forwarderBudget = backend.Budget{
+		Part: p.Settings.Fleet.RetryPart * budgetKept,
+		Most: func() float64 {
+			return math.Max(1, p.Settings.Fleet.RetryMost*budgetKept/float64(p.open.State().Count))
+		},
+	}
+}
+
+// limitWorkspaces puts the workspaces' limits of the table in force.
+func (p *Process) limitWorkspaces(event.TableAccepted) {
+	t := p.store.Table()
+	if t == nil {
+		return
+	}
+	m := make(map[uint64]roster.Limit, len(t.Workspaces))
+	for _, w := range t.Workspaces {
+		if w.Rate > 0 {
+			m[roster.Hash(w.Name)] = roster.Limit{Rate: w.Rate, Burst: w.Burst}
+		}
+	}
+	p.workspaces.Set(m)
+}
+
+// coldSponsor returns the allowance of cold servers: a few VMs may use all of
+// it, the others nothing.
+func (p *Process) coldSponsor() choice.Allowance {
+	return &choice.Sponsored{
+		Self:   p.Settings.Peer.Address,
+		VMs:    func() []netip.AddrPort { return p.open.State().Live },
+		Joined: func() bool { return p.open.State().Joined },
+		Rate: func(server netip.AddrPort) float64 {
+			return coldRate(p.store.Table(), server)
+		},
+	}
+}
+
+// coldRate returns what a server in cold start bears, in requests a second.
+func coldRate(t *table.Table, server netip.AddrPort) float64 {
+	if t == nil {
+		return 0
+	}
+	for _, s := range t.Services {
+		for _, v := range s.Servers {
+			if v.Address == server {
+				return s.ColdRate
+			}
+		}
+	}
+	return 0
+}
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -8,6 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	deployment "lentilbend.example/platform"
+
 	"lentilbend.example/lentilbend/internal/backend"
 	"lentilbend.example/lentilbend/internal/caller"
 	"lentilbend.example/lentilbend/internal/exchange"
@@ -21,14 +23,19 @@
 	p.takeLibraryLog()
 	c := &connections{
 		Table: p.table,
-		VMs:   func(now time.Time) int { return p.fleet.Share(now).Count },
+		VMs:   p.countVMs,
 	}
 	p.pools = pool.New(c.allowance)
+	if p.isOpen() {
+		// Each connection that servers accept has a price there.
+		p.pools.Ahead = 0
+	}
 	p.registry.MustRegister(&pool.Collector{Set: p.pools})
 	p.forwarder = &backend.Forwarder{
 		Pools:     p.pools,
 		Chooser:   p.services,
 		BodyLimit: p.Settings.Limits.Body,
+		Budget:    p.forwarderBudget,
 	}
 	p.registry.MustRegister(p.forwarder)
 	p.caller = &caller.Server{
@@ -41,6 +48,9 @@
 			Metrics:     caller.NewMetrics(p.registry),
 		},
 	}
+	if p.isOpen() {
+		p.caller.Handler.Dialect = deployment.Dialect()
+	}
 	p.parts["Backend"] = p.forwarder
 	p.parts["Caller"] = p.caller
 	return p.caller.Listen()
@@ -55,9 +65,20 @@
 
 // filters returns the row that every request passes.
 func (p *Process) filters() exchange.Handler {
+	if p.isOpen() {
+		return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.throttle, p.share)
+	}
 	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.rate, p.share)
 }
 
+// countVMs returns how many entry VMs use the backend servers.
+func (p *Process) countVMs(now time.Time) int {
+	if p.isOpen() {
+		return p.open.State().Count
+	}
+	return p.fleet.Share(now).Count
+}
+
 // leave ends the callers' connections without cutting a request: a wait in
 // which each answer asks the caller to go, then the end of what still runs.
 func (p *Process) leave() error {
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"lentilbend.example/internal/event"
+	"lentilbend.example/internal/roster"
 	"lentilbend.example/internal/timer"
 
 	"lentilbend.example/lentilbend/internal/backend"
@@ -24,9 +25,11 @@
 	"lentilbend.example/lentilbend/internal/chooser"
 	"lentilbend.example/lentilbend/internal/filter/rate"
 	"lentilbend.example/lentilbend/internal/filter/share"
+	"lentilbend.example/lentilbend/internal/filter/throttle"
 	"lentilbend.example/lentilbend/internal/fleet"
 	"lentilbend.example/lentilbend/internal/limiter"
 	"lentilbend.example/lentilbend/internal/logging"
+	"lentilbend.example/lentilbend/internal/openfleet"
 	"lentilbend.example/lentilbend/internal/operator"
 	"lentilbend.example/lentilbend/internal/peer"
 	"lentilbend.example/lentilbend/internal/platform"
@@ -68,7 +71,16 @@
 	parts     map[string]operator.Dumper
 	stopping  atomic.Bool
 
+	// open, watcher, workspaces and throttle stand in for fleet, reader,
+	// limits and rate where the platform lists no VMs.
+	open            *openfleet.Fleet
+	watcher         *platform.Watcher
+	workspaces      *roster.Limits
+	throttle        *throttle.Filter
+	forwarderBudget backend.Budget
+
 	services    *chooser.Services
+	prober      *chooser.Prober
 	share       *share.Filter
 	limits      *limiter.Limiter
 	rate        *rate.Filter
@@ -97,11 +109,19 @@
 	}
 	run(func() error { return p.timer.Run(ctx) })
 	run(func() error { return p.hub.Run(ctx) })
-	run(func() error { return p.fleet.Run(ctx) })
-	run(func() error { return p.reader.Run(ctx) })
+	if p.isOpen() {
+		run(func() error { return p.open.Run(ctx) })
+		run(func() error { return p.watcher.Run(ctx) })
+		if err := event.Subscribe(ctx, p.bus, p.limitWorkspaces); err != nil {
+			return err
+		}
+	} else {
+		run(func() error { return p.fleet.Run(ctx) })
+		run(func() error { return p.reader.Run(ctx) })
+		run(func() error { return p.limits.Run(ctx) })
+	}
 	run(func() error { return p.relay.Run(ctx) })
 	run(func() error { return p.runChoice(ctx, p.hub) })
-	run(func() error { return p.limits.Run(ctx) })
 	run(p.operator.Run)
 	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
@@ -110,6 +130,7 @@
 	if signals == nil {
 		signals = make(chan os.Signal, 2)
 		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+		signal.Ignore(syscall.SIGHUP)
 	}
 	select {
 	case err := <-failed:
@@ -122,7 +143,7 @@
 func (p *Process) build() error {
 	s := p.Settings
 	var err error
-	if p.root, err = logging.New(os.Stderr, s.Log.Format, s.Log.Level); err != nil {
+	if p.root, err = logging.New(os.Stdout, s.Log.Format, s.Log.Level); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	p.logger = p.root.Part("serve")
@@ -132,10 +153,18 @@
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.parts = map[string]operator.Dumper{}
-	p.buildFleet()
+	if p.isOpen() {
+		p.buildOpenFleet()
+	} else {
+		p.buildFleet()
+	}
 	p.buildConfig()
 	p.buildChoice()
-	p.buildLimits()
+	if p.isOpen() {
+		p.buildOpenLimits()
+	} else {
+		p.buildLimits()
+	}
 	p.joinFleet()
 	if err := p.buildPath(); err != nil {
 		return err
--- a/lentilbend/internal/serve/settle.go
+++ b/lentilbend/internal/serve/settle.go
@@ -22,6 +22,12 @@
 	if p.store.Table() == nil {
 		return false
 	}
+	if p.isOpen() {
+		// The table came by an own read of the newest values, or from a peer
+		// that had it so.
+		p.settledOnce.Store(true)
+		return true
+	}
 	waited := time.Since(p.started) >= settleTimeout
 	if !waited && !p.alone() && !p.relay.CaughtUp() {
 		return false
@@ -37,7 +43,7 @@
 // standing tells whether this VM has had a share of the limits, so that it can
 // grant what comes. Requests that come before live on tokens of other VMs.
 func (p *Process) standing() bool {
-	if p.stoodOnce.Load() {
+	if p.stoodOnce.Load() || p.isOpen() {
 		return true
 	}
 	now := time.Now()
--- a/lentilbend/internal/settings/check.go
+++ b/lentilbend/internal/settings/check.go
@@ -18,6 +18,8 @@
 	c := &checker{doc: d}
 	c.that(s.DataCentre != "", "DataCentre", "must not be empty")
 	c.that(len(s.Platform.Addresses) > 0, "Platform.Addresses", "must have an address")
+	c.that(slices.Contains([]string{FormValues, FormStore}, s.Platform.Form),
+		"Platform.Form", "must be Values or Store")
 	c.that(slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level),
 		"Log.Level", "must be debug, info, warn or error")
 	c.that(slices.Contains([]string{"logfmt", "json"}, s.Log.Format),
@@ -37,9 +39,27 @@
 	c.that(s.Limits.Header >= 1024, "Limits.Header", "must be at least 1024 bytes")
 	c.that(s.Limits.Body >= 0, "Limits.Body", "must not be negative")
 	c.that(s.Limits.Memory >= 64<<20, "Limits.Memory", "must be at least 67108864 bytes")
+	c.fleet(s.Fleet)
 	return c.found.All()
 }
 
+func (c *checker) fleet(f Fleet) {
+	c.least("Fleet.Capacity", f.Capacity)
+	c.least("Fleet.RateOverage", f.RateOverage)
+	c.least("Fleet.RateTolerance", f.RateTolerance)
+	c.least("Fleet.RetryPart", f.RetryPart)
+	c.least("Fleet.RetryMost", f.RetryMost)
+	c.least("Fleet.ColdFactor", f.ColdFactor)
+	c.least("Fleet.ColdTolerance", f.ColdTolerance)
+	c.least("Fleet.ProbeRate", f.ProbeRate)
+	c.that(f.RateWindow >= 0, "Fleet.RateWindow", "must not be negative")
+	c.that(f.RetryWindow >= 0, "Fleet.RetryWindow", "must not be negative")
+}
+
+func (c *checker) least(field string, x float64) {
+	c.that(x >= 0, field, "must not be negative")
+}
+
 func (c *checker) that(ok bool, field, text string) {
 	if !ok {
 		c.found.Add(c.doc.Place(field), "%s", text)
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -23,6 +23,33 @@
 	Log        Log   `document:"optional"`
 	Stop       Stop  `document:"optional"`
 	Limits     Sizes `document:"optional"`
+	Fleet      Fleet `document:"optional"`
+}
+
+// Fleet holds what a fleet that the platform does not list may use beyond the
+// table's limits, to pay for not knowing which VMs are alive.
+type Fleet struct {
+	// Capacity ranks the VMs that coordinate; the larger go first.
+	Capacity float64 `document:"optional"`
+	// RateOverage is the part of a workspace's rate and burst that may pass
+	// beyond it, and RateTolerance the requests beyond that in RateWindow.
+	RateOverage   float64       `document:"optional"`
+	RateTolerance float64       `document:"optional"`
+	RateWindow    time.Duration `document:"optional"`
+	// RetryPart is the part of a service's requests that may be sent once
+	// more, and RetryMost how many beyond that in RetryWindow.
+	RetryPart   float64       `document:"optional"`
+	RetryMost   float64       `document:"optional"`
+	RetryWindow time.Duration `document:"optional"`
+	// ColdFactor and ColdTolerance say how much more than its rate a server
+	// in cold start bears in a second.
+	ColdFactor    float64 `document:"optional"`
+	ColdTolerance float64 `document:"optional"`
+	// ProbeRate is how many load probes a second one server may get.
+	ProbeRate float64 `document:"optional"`
+	// FarCost is the time that a thousand bytes of an answer from a backend
+	// server in another data centre count as when a server is chosen.
+	FarCost time.Duration `document:"optional"`
 }
 
 // Caller holds the address that callers reach.
@@ -41,6 +68,10 @@
 	Address     netip.AddrPort
 	Certificate string `document:"optional"`
 	Key         string `document:"optional"`
+	// ReadyPath is a further path of the readiness check; empty for none.
+	ReadyPath string `document:"optional"`
+	// Metrics is a further address that serves the metrics alone.
+	Metrics netip.AddrPort `document:"optional"`
 }
 
 // Peer holds the address that other entry VMs reach.
@@ -63,6 +94,9 @@
 // Platform holds the addresses of the platform's service.
 type Platform struct {
 	Addresses []netip.AddrPort
+	// Form is "Values" for a service with the table's values and a list of
+	// VMs, or "Store" for a store that backend servers and operators write.
+	Form string `document:"optional"`
 	// Timeout is how long a read may take beyond the time it asks to wait.
 	Timeout time.Duration `document:"optional"`
 }
@@ -95,6 +129,12 @@
 	Memory int64 `document:"optional"`
 }
 
+// Forms of the platform's service.
+const (
+	FormValues = "Values"
+	FormStore  = "Store"
+)
+
 // Read reads and checks the settings in a file. The error is of type
 // *finding.Error when the content is wrong.
 func Read(path string) (*Settings, error) {
@@ -127,6 +167,7 @@
 		Caller: Caller{HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute},
 		Peer:   Peer{ListAge: 30 * time.Second},
 		Platform: Platform{
+			Form:    FormValues,
 			Timeout: 2 * time.Second,
 		},
 		Log:    Log{Level: "info", Format: "logfmt"},
--- a/lentilbend/internal/store/snapshot.go
+++ b/lentilbend/internal/store/snapshot.go
@@ -28,7 +28,9 @@
 	n := snapshot{revision: revision, values: map[string]*platformpb.Value{}}
 	maps.Copy(n.values, s.values)
 	for _, v := range changed {
-		n.values[v.GetName()] = v
+		if o := n.values[v.GetName()]; o.GetRevision() <= v.GetRevision() {
+			n.values[v.GetName()] = v
+		}
 	}
 	n.sum = digest(n.texts())
 	return n
--- a/lentilbend/internal/store/store.go
+++ b/lentilbend/internal/store/store.go
@@ -19,6 +19,9 @@
 type Store struct {
 	Bus    *event.Bus
 	Logger log.Logger
+	// Parse reads the values of a revision; table.Parse when nil. It must be a
+	// pure function of its arguments.
+	Parse func(revision uint64, values []table.Value) (*table.Table, []finding.Finding)
 
 	table atomic.Pointer[table.Table]
 
@@ -97,6 +100,21 @@
 	s.offer(n)
 }
 
+// ApplyChanges takes changes from a platform that counts one revision over all
+// values: they are complete from a revision that is known here up to their own.
+// What is known already may come again.
+func (s *Store) ApplyChanges(a *platformpb.ValuesAnswer) {
+	defer s.publish()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.GetRevision() <= s.newest.revision {
+		return
+	}
+	n := s.newest.with(a.GetRevision(), a.GetValues())
+	s.newest = n
+	s.offer(n)
+}
+
 // ApplyPeer takes a peer's accepted version with its values after revision
 // since. It returns false when they do not fit the values held here, so that
 // the peer must be asked for all of them.
@@ -127,7 +145,11 @@
 
 // offer validates a snapshot and puts it in force unless it is older.
 func (s *Store) offer(n snapshot) {
-	t, fs := table.Parse(n.revision, n.texts())
+	parse := s.Parse
+	if parse == nil {
+		parse = table.Parse
+	}
+	t, fs := parse(n.revision, n.texts())
 	if len(fs) > 0 {
 		s.refuse(n.revision, fs)
 		return
