Choose by the pace at this moment, and look after requests in flight

Cause: a quarter of the servers works seven times slower for half a second; requests given up there were counted as failures of the server, which then got work only as a cold one. Callers over their rate came back too late. Change: the pace of a load report weighs in the choice; a request that may run again leaves a server that turned slow; giving up says nothing of the server; cold servers are spared while others are free; a caller over its rate may come back after 60 ms; two VMs read the store.

--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -15,6 +15,7 @@
 	wait       time.Duration
 	prev, next *call
 	ended      bool
+	basis      Basis
 }
 
 // Server returns the server's address.
@@ -27,6 +28,11 @@
 	return c.server.name
 }
 
+// Basis returns what the choice of the server rested on.
+func (c *call) Basis() Basis {
+	return c.basis
+}
+
 // End tells how the call ended. Further calls do nothing.
 func (c *call) End(now time.Time, o Outcome) {
 	c.set.end(now, c, o)
--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -39,10 +39,25 @@
 	Server() netip.AddrPort
 	// Name returns the server's own name, empty when it has none.
 	Name() string
+	// Basis returns what the choice of the server rested on.
+	Basis() Basis
 	// End tells how the call ended. It must be called once.
 	End(now time.Time, o Outcome)
 }
 
+// Basis is what was known of a server when it was chosen.
+type Basis struct {
+	// Running, Queued and Pace are those of the server's last report, and Age
+	// is the report's; a negative Age says that there was none.
+	Running, Queued int
+	Pace            float64
+	Age             time.Duration
+	// Expected is how long the answer was expected to take.
+	Expected time.Duration
+	// Cold says that the server was in cold start.
+	Cold bool
+}
+
 // Outcome is how a call ended: one of the types below.
 type Outcome interface {
 	outcome()
@@ -68,6 +83,10 @@
 // Failed means that the connection failed or the answer broke off.
 type Failed struct{}
 
+// Spoiled means that the server answered, but not with a whole answer of its
+// own to this request, or with a failure.
+type Spoiled struct{}
+
 // TimedOut means that the deadline passed without a whole answer.
 type TimedOut struct{}
 
@@ -80,6 +99,7 @@
 func (Answered) outcome()  {}
 func (Shed) outcome()      {}
 func (Failed) outcome()    {}
+func (Spoiled) outcome()   {}
 func (TimedOut) outcome()  {}
 func (Cancelled) outcome() {}
 func (NotSent) outcome()   {}
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -25,6 +25,10 @@
 	evidenceFactor = 1.0
 	// muteFactor is for a server that left its last probe unanswered.
 	muteFactor = 4.0
+	// sparedFactor is how many usual latencies an answer may be expected to
+	// take before a server in cold start, which takes about twice as long, is
+	// the better choice.
+	sparedFactor = 2.0
 	// paceFade is the time in which half of a reported pace is forgotten:
 	// neighbours on a machine change in some hundred milliseconds.
 	paceFade = 250 * time.Millisecond
@@ -37,7 +41,7 @@
 // pickInformed offers the request to the servers in cold start as far as their
 // allowance goes, and else picks among the best tier by the expected time.
 func (s *Set) pickInformed(p Informed, tried []netip.AddrPort) *server {
-	if s.special() {
+	if s.special() && !s.spared(p, tried) {
 		if v := s.pickCold(tried); v != nil {
 			return v
 		}
@@ -52,6 +56,23 @@
 	return s.near(p, best)
 }
 
+// spared says that requests need no server in cold start, where servers say
+// when theirs ends: others are well and not busy.
+func (s *Set) spared(p Informed, tried []netip.AddrPort) bool {
+	if !s.stated || s.score(p, tried) != tierGood {
+		return false
+	}
+	least := math.Inf(1)
+	for _, c := range s.scores {
+		least = min(least, c)
+	}
+	m := float64(s.prior)
+	if s.usual.known() {
+		m = float64(s.usual.mean)
+	}
+	return least < sparedFactor*m
+}
+
 // special says whether any server is not warm or on trial, and lets those in the
 // ramp earn.
 func (s *Set) special() bool {
@@ -162,7 +183,7 @@
 	if v.missing && s.now.Sub(v.heard) > missingKnown {
 		f *= missingFactor
 	}
-	m := float64(unknownLatency)
+	m := float64(max(s.prior, unknownLatency))
 	if s.usual.known() {
 		m = float64(s.usual.mean)
 	}
--- a/internal/choice/probe.go
+++ b/internal/choice/probe.go
@@ -43,6 +43,15 @@
 	return v.drains(s.now) || v.start.phase == phaseDoubt
 }
 
+// Unheard tells whether nothing was reported of a server for longer than age.
+func (s *Set) Unheard(now time.Time, a netip.AddrPort, age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begin(now)
+	v := s.find(a)
+	return v != nil && s.now.Sub(v.reported) > age
+}
+
 // Candidates returns at most n servers that a request of a kind would best go
 // to and of which nothing was reported for maxAge, so that they can be asked
 // just before the choice.
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -42,6 +42,7 @@
 	vms      int
 	probed   bool
 	stated   bool
+	prior    time.Duration
 	coldFor  time.Duration
 	servers  []*server
 	centres  []*centre
@@ -71,6 +72,8 @@
 	// Stated says that servers state their cold starts, so that none is taken
 	// as cold because it is new.
 	Stated bool
+	// Usual is how long an answer is taken to need while none came yet.
+	Usual time.Duration
 	// Probed says that servers have a load endpoint that may be probed.
 	Probed bool
 }
@@ -88,6 +91,10 @@
 	s.vms = max(l.VMs, 1)
 	s.probed = l.Probed
 	s.stated = l.Stated
+	s.prior = unknownLatency
+	if l.Usual > 0 {
+		s.prior = l.Usual
+	}
 	known := make(map[netip.AddrPort]*server, len(s.servers))
 	for _, v := range s.servers {
 		known[v.address] = v
@@ -198,12 +205,25 @@
 	if p, ok := s.Policy.(Informed); ok {
 		c.wait = time.Duration(s.wait(p, v) * float64(s.usual.mean))
 	}
+	c.basis = s.basis(v)
 	s.inFlight++
 	v.chosen++
 	v.calls.push(c)
 	return c
 }
 
+func (s *Set) basis(v *server) Basis {
+	b := Basis{Age: -1, Cold: v.start.bounded()}
+	if !v.reported.IsZero() {
+		b.Age = s.now.Sub(v.reported)
+		b.Running, b.Queued, b.Pace = v.report.Running, v.report.Queued, v.report.Pace
+	}
+	if p, ok := s.Policy.(Informed); ok {
+		b.Expected = time.Duration(s.expected(p, v))
+	}
+	return b
+}
+
 // end takes the outcome of a call.
 func (s *Set) end(now time.Time, c *call, o Outcome) {
 	if s.note(now, c, o) && s.Observe != nil {
@@ -227,6 +247,9 @@
 		s.answered(v, c, o)
 	case Shed:
 		s.shed(v, o)
+	case Spoiled:
+		v.heard = s.now
+		s.fault(v, evidenceStatus)
 	case Failed:
 		s.failed(v)
 	case TimedOut:
--- a/lentilbend/internal/backend/chooser.go
+++ b/lentilbend/internal/backend/chooser.go
@@ -19,6 +19,14 @@
 	Choose(now time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, bool)
 }
 
+// Watcher is a Chooser that looks after calls in flight.
+type Watcher interface {
+	Chooser
+	// Behind tells whether the request would end sooner if its call were
+	// given up for one to a server that is not in tried.
+	Behind(x *exchange.Exchange, c choice.Call, tried []netip.AddrPort) bool
+}
+
 // Random chooses any server of a data centre that is in.
 type Random struct{}
 
@@ -45,5 +53,6 @@
 }
 
 func (c randomCall) Server() netip.AddrPort      { return c.server }
+func (randomCall) Basis() choice.Basis           { return choice.Basis{Age: -1} }
 func (c randomCall) Name() string                { return c.name }
 func (randomCall) End(time.Time, choice.Outcome) {}
--- a/lentilbend/internal/backend/forward.go
+++ b/lentilbend/internal/backend/forward.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"lentilbend.example/lentilbend/internal/exchange"
 	"lentilbend.example/lentilbend/internal/pool"
 )
@@ -18,11 +20,17 @@
 type Forwarder struct {
 	Pools   *pool.Set
 	Chooser Chooser
+	// Logger takes a line for each attempt that did not bring an answer in
+	// time; nil for none.
+	Logger log.Logger
 	// BodyLimit is the largest body of a request, in bytes.
 	BodyLimit int64
 	// Budget bounds the retries over all VMs together; the zero value bounds
 	// those of this VM by its successes.
 	Budget Budget
+	// WatchEvery is the time between looks at an idempotent request in flight;
+	// 0 for none. It needs a Chooser that is a Watcher.
+	WatchEvery time.Duration
 	// Now returns the time; time.Now when nil.
 	Now func() time.Time
 
--- a/lentilbend/internal/backend/judge.go
+++ b/lentilbend/internal/backend/judge.go
@@ -28,10 +28,11 @@
 	if !sent {
 		return w.unsent(call, err)
 	}
-	w.end(call, choice.Failed{})
 	if s.Load() == isAbandoned {
+		w.end(call, choice.Cancelled{})
 		return abandoned{}, false
 	}
+	w.end(call, choice.Failed{})
 	return broken{}, false
 }
 
@@ -65,7 +66,7 @@
 	if !s.CompareAndSwap(waiting, hasAnswer) {
 		w.reached = true
 		c.Close()
-		w.end(call, choice.Failed{})
+		w.end(call, choice.Cancelled{})
 		return abandoned{}
 	}
 	first := c.FirstByte()
@@ -73,7 +74,7 @@
 	if !w.own(a) {
 		w.reached = true
 		c.Close()
-		w.end(call, choice.Failed{})
+		w.end(call, choice.Spoiled{})
 		return broken{}
 	}
 	if w.dialect.NotRun(a.StatusCode, a.Header) {
@@ -84,7 +85,7 @@
 	w.reached = true
 	if w.unfit(a) {
 		c.Close()
-		w.end(call, choice.Failed{})
+		w.end(call, choice.Spoiled{})
 		return broken{}
 	}
 	return w.pass(answered{response: a, conn: c, call: call, first: first, load: w.report(a.Header)})
--- a/lentilbend/internal/backend/order_test.go
+++ b/lentilbend/internal/backend/order_test.go
@@ -26,6 +26,8 @@
 
 func (c call) Name() string { return "" }
 
+func (c call) Basis() choice.Basis { return choice.Basis{} }
+
 func (c call) Server() netip.AddrPort      { return netip.AddrPort(c) }
 func (call) End(time.Time, choice.Outcome) {}
 
--- a/lentilbend/internal/backend/work.go
+++ b/lentilbend/internal/backend/work.go
@@ -145,6 +145,7 @@
 }
 
 func (w *work) end(c choice.Call, o choice.Outcome) {
+	w.note(c, o)
 	c.End(w.forwarder.now(), o)
 }
 
@@ -161,7 +162,7 @@
 		return held{}, false
 	}
 	var s state
-	a, err := w.roundTrip(c, &s)
+	a, err := w.roundTrip(call, c, &s)
 	if err != nil {
 		c.Close()
 		return w.failed(call, c, &s, err)
@@ -195,7 +196,7 @@
 	return notSent{}
 }
 
-func (w *work) roundTrip(c *pool.Conn, s *state) (*http.Response, error) {
+func (w *work) roundTrip(call choice.Call, c *pool.Conn, s *state) (*http.Response, error) {
 	w.early.begin(w.exchange.Writer, w.dialect.Private)
 	defer w.early.end()
 	t := pool.Trip{
@@ -205,10 +206,36 @@
 	}
 	if w.mayRunAgain() && !t.Streamed {
 		t.Silent = func() { w.abandon(c, s) }
+		if v, ok := w.forwarder.Chooser.(Watcher); ok && w.forwarder.WatchEvery > 0 {
+			ended := make(chan struct{})
+			defer close(ended)
+			go w.watch(v, call, c, s, ended)
+		}
 	}
 	return c.RoundTrip(w.request(httptrace.WithClientTrace(w.ctx, &w.early.trace), c.Host()), t)
 }
 
+// watch looks after a request in flight until ended, and gives it up when
+// another server is expected to answer sooner.
+func (w *work) watch(v Watcher, call choice.Call, c *pool.Conn, s *state, ended <-chan struct{}) {
+	t := time.NewTicker(w.forwarder.WatchEvery)
+	defer t.Stop()
+	tried := w.tried[:len(w.tried):len(w.tried)]
+	for {
+		select {
+		case <-ended:
+			return
+		case <-w.ctx.Done():
+			return
+		case <-t.C:
+		}
+		if len(tried) < w.triesAtMost() && v.Behind(w.exchange, call, tried) {
+			w.abandon(c, s)
+			return
+		}
+	}
+}
+
 // abandon gives a silent request up when the budget pays for another try.
 func (w *work) abandon(c *pool.Conn, s *state) {
 	if len(w.tried) >= w.triesAtMost() || !w.budget.take() {
--- a/lentilbend/internal/chooser/probe.go
+++ b/lentilbend/internal/chooser/probe.go
@@ -8,12 +8,13 @@
 	"sync/atomic"
 	"time"
 
+	"lentilbend.example/internal/choice"
 	"lentilbend.example/internal/load"
 )
 
 // Bounds of one probe.
 const (
-	probeTimeout = 500 * time.Millisecond
+	probeTimeout = 100 * time.Millisecond
 	probeBody    = 4 << 10
 )
 
@@ -66,6 +67,20 @@
 	}
 }
 
+// Watch asks the server of a call in flight, and others where it is slow, and
+// tells whether another would answer sooner.
+func (p *Prober) Watch(v *service, kind string, wanted time.Time, c choice.Call, tried []netip.AddrPort) bool {
+	a := c.Server()
+	if v.set.Unheard(time.Now(), a, askAge) {
+		p.probe(context.Background(), v, a)
+	}
+	if !v.set.Behind(time.Now(), wanted, c, tried) {
+		return false
+	}
+	p.Ask(v, kind, tried)
+	return v.set.Behind(time.Now(), wanted, c, tried)
+}
+
 // Step sends the probes that are due now, at most one for each service.
 func (p *Prober) Step(ctx context.Context, now time.Time) {
 	p.Services.each(func(_ string, v *service) {
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -35,6 +35,8 @@
 	// Ask asks servers for their load just before a choice; nil for no such
 	// probes.
 	Ask func(v *service, kind string, tried []netip.AddrPort)
+	// Watch looks after a call in flight; nil for none.
+	Watch func(v *service, kind string, wanted time.Time, c choice.Call, tried []netip.AddrPort) bool
 	// Home and FarCost weigh answers from other data centres; see choice.Set.
 	Home    string
 	FarCost time.Duration
@@ -86,6 +88,19 @@
 	return v.set.Choose(now, kind(x), tried)
 }
 
+// Behind tells whether another server would answer x sooner than that of c.
+func (s *Services) Behind(x *exchange.Exchange, c choice.Call, tried []netip.AddrPort) bool {
+	v := s.find(x.Service.Name)
+	if v == nil || s.Watch == nil {
+		return false
+	}
+	var wanted time.Time
+	if x.Route.Objective > 0 {
+		wanted = x.Received.Add(x.Route.Objective)
+	}
+	return s.Watch(v, kind(x), wanted, c, tried)
+}
+
 // kind returns the name of the kind of request.
 func kind(x *exchange.Exchange) string {
 	if x.Route == nil {
@@ -162,10 +177,23 @@
 	v.gate.SetLeast(surePart * float64(in*c.Slots) / float64(max(1, l.entries)))
 	v.set.Update(now, choice.Limits{
 		Slots: c.Slots, ColdFor: c.ColdFor, VMs: l.entries, Stated: s.Stated,
+		Usual:  usual(t, c.Name),
 		Probed: (c.ProbeRate > 0 || s.Entries != nil) && c.LoadPath != "",
 	}, ss)
 }
 
+// usual returns how long an answer of a service is taken to need: a part of
+// the least time within which one is wanted.
+func usual(t *table.Table, service string) time.Duration {
+	least := time.Duration(0)
+	for _, r := range t.Routes {
+		if r.Service == service && r.Objective > 0 && (least == 0 || r.Objective < least) {
+			least = r.Objective
+		}
+	}
+	return least * 2 / 5
+}
+
 func out(t *table.Table, name string) bool {
 	c, ok := t.DataCentre(name)
 	return !ok || c.State != table.CentreIn
--- a/lentilbend/internal/filter/throttle/throttle.go
+++ b/lentilbend/internal/filter/throttle/throttle.go
@@ -19,9 +19,9 @@
 // CauseRate is the cause of the filter's refusals.
 const CauseRate exchange.Cause = "rate"
 
-// retryAfter is when a refused caller may come back: a workspace that is past
-// its rate stays so for about that long.
-const retryAfter = time.Second
+// retryAfter is when a refused caller may come back: a part of the workspace's
+// requests passes all the while, and an answer can then still come in time.
+const retryAfter = 60 * time.Millisecond
 
 // Filter refuses requests beyond their workspace's rate. The key must be known
 // before it. Set the exported fields before use.
--- a/lentilbend/internal/platform/watcher.go
+++ b/lentilbend/internal/platform/watcher.go
@@ -22,10 +22,10 @@
 	// changesWait is how long one wait for changes lasts.
 	changesWait = 800 * time.Millisecond
 	// changesGap lets changes that come together be read together.
-	changesGap = 200 * time.Millisecond
+	changesGap = 150 * time.Millisecond
 	// coveredFor is how old the newest proof may be that a peer reads the
-	// platform: one wait and its answer.
-	coveredFor = 1200 * time.Millisecond
+	// platform: one wait, a gap and the answer's way.
+	coveredFor = 1250 * time.Millisecond
 	// coveredCheck is the time between looks at that proof.
 	coveredCheck = 100 * time.Millisecond
 	// missingFor is how long a value that was deleted while the platform
@@ -51,8 +51,8 @@
 	Calls() uint64
 }
 
-// Watcher keeps the table up to date on a platform that lists no VMs. The
-// coordinators wait for changes; the other VMs learn them from these, and read
+// Watcher keeps the table up to date on a platform that lists no VMs. A few VMs
+// wait for changes; the other VMs learn them from these, and read
 // themselves only while no one that they hear can. Set the exported fields
 // before Run.
 type Watcher struct {
@@ -61,8 +61,10 @@
 	Logger log.Logger
 	// Forgotten is the error of Changes that asks for a read of all values.
 	Forgotten func(error) bool
-	// Coordinates tells whether this VM is a coordinator.
-	Coordinates func() bool
+	// Reads tells whether this VM is one of those that are to read.
+	Reads func() bool
+	// OnRead is called after each read that succeeded.
+	OnRead func()
 	// Covered returns since when a peer's reads are known to hold here; false
 	// when there is no such peer.
 	Covered func() (time.Duration, bool)
@@ -91,9 +93,15 @@
 			timer.Sleep(ctx, coveredCheck)
 			continue
 		}
-		if w.step(ctx) {
+		ok, changed := w.step(ctx)
+		if ok {
 			w.backoff.Reset()
+			w.OnRead()
+		}
+		if changed {
 			timer.Sleep(ctx, changesGap)
+		}
+		if ok {
 			continue
 		}
 		timer.Sleep(ctx, w.pause(rnd))
@@ -103,7 +111,7 @@
 
 // covered tells whether this VM may leave the reading to others.
 func (w *Watcher) covered() bool {
-	if w.Store.Table() == nil || w.Coordinates() {
+	if w.Store.Table() == nil || w.Reads() {
 		return false
 	}
 	d, ok := w.Covered()
@@ -113,15 +121,15 @@
 // pause returns how long to wait after a failed read.
 func (w *Watcher) pause(rnd *rand.Rand) time.Duration {
 	d := w.backoff.Next(rnd)
-	if w.Coordinates() || w.Store.Table() == nil {
+	if w.Reads() || w.Store.Table() == nil {
 		return d
 	}
 	spread := time.Duration(float64(w.VMs()) / takeoverRate * float64(time.Second))
 	return d + time.Duration(rnd.Float64()*float64(spread))
 }
 
-// step makes one read and tells whether it succeeded.
-func (w *Watcher) step(ctx context.Context) bool {
+// step makes one read and tells whether it succeeded and brought anything.
+func (w *Watcher) step(ctx context.Context) (ok, changed bool) {
 	w.reading.Store(true)
 	sent := time.Now()
 	var a *platformpb.ValuesAnswer
@@ -134,7 +142,8 @@
 		a, err = w.Source.Changes(ctx, w.cursor, changesWait)
 	}
 	if err != nil {
-		return w.failed(ctx, err)
+		w.failed(ctx, err)
+		return false, false
 	}
 	w.regained(sent)
 	if whole {
@@ -149,25 +158,24 @@
 		now := time.Now()
 		w.read.Store(&now)
 	}
-	return true
+	return true, len(a.GetValues()) > 0
 }
 
-func (w *Watcher) failed(ctx context.Context, err error) bool {
+func (w *Watcher) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
-		return false
+		return
 	}
 	w.failures.Add(1)
 	if w.Forgotten(err) {
 		_ = level.Info(w.Logger).Log("msg", "Platform dropped its history, all values are read.", "revision", w.cursor)
 		w.forgotten = true
-		return false
+		return
 	}
 	if !w.lost {
 		w.lost, w.lostAt = true, time.Now()
 		_ = level.Warn(w.Logger).Log("msg", "Platform lost.", "revision", w.cursor, "err", err)
 	}
 	w.reading.Store(false)
-	return false
 }
 
 func (w *Watcher) regained(sent time.Time) {
--- a/lentilbend/internal/pool/set.go
+++ b/lentilbend/internal/pool/set.go
@@ -21,6 +21,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long a connection is kept without a request.
 	IdleTimeout time.Duration
+	// SweepEvery is the time between looks for silent connections.
+	SweepEvery time.Duration
 	// Ahead is how many idle connections are held ready while requests come.
 	Ahead int
 
@@ -38,6 +40,7 @@
 		DialTimeout: 500 * time.Millisecond,
 		IdleTimeout: 30 * time.Second,
 		Ahead:       1,
+		SweepEvery:  SweepInterval,
 	}
 }
 
@@ -82,7 +85,7 @@
 
 // Run sweeps until ctx ends, then closes what is idle.
 func (s *Set) Run(ctx context.Context) error {
-	t := time.NewTicker(SweepInterval)
+	t := time.NewTicker(s.SweepEvery)
 	defer t.Stop()
 	for {
 		select {
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -27,9 +27,6 @@
 	// spread is the longest wait before a pull, so that pulls spread over
 	// all VMs that have the version by then.
 	spread = 200 * time.Millisecond
-	// beatEvery is the time between announcements of a VM that reads the
-	// platform: a third of the time for which one counts.
-	beatEvery = 400 * time.Millisecond
 	// maxReadAge bounds the age of a read that is told.
 	maxReadAge = time.Hour
 	// pullTimeout bounds one pull.
@@ -64,6 +61,9 @@
 	// as a peer that runs another release may have it. It is not pulled again.
 	invalid store.Version
 	wake    chan struct{}
+	// covered is when a peer last read the platform to a revision in force
+	// here.
+	covered time.Time
 }
 
 // Announced is what a peer last announced.
@@ -86,9 +86,6 @@
 	var g sync.WaitGroup
 	g.Go(func() { r.gossip(ctx) })
 	g.Go(func() { r.pulls(ctx) })
-	if r.ReadAge != nil {
-		g.Go(func() { r.beat(ctx) })
-	}
 	g.Wait()
 	return nil
 }
@@ -180,25 +177,19 @@
 // is in force here; false when no peer reads.
 func (r *Relay) Covered() (time.Duration, bool) {
 	v := r.Store.Accepted().Revision
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	least, found := time.Duration(0), false
 	for _, a := range r.heard {
-		if d := now.Sub(a.Read); a.Reads && a.Table.Revision <= v && (!found || d < least) {
-			least, found = d, true
+		if a.Reads && a.Table.Revision <= v && a.Read.After(r.covered) {
+			r.covered = a.Read
 		}
 	}
-	return least, found
+	return time.Since(r.covered), !r.covered.IsZero()
 }
 
-// beat tells the peers at short intervals that this VM reads the platform.
-func (r *Relay) beat(ctx context.Context) {
-	for timer.Sleep(ctx, beatEvery) {
-		if _, ok := r.ReadAge(time.Now()); ok {
-			r.announceAll()
-		}
-	}
+// Beat tells the peers that this VM has read the platform.
+func (r *Relay) Beat() {
+	r.announceAll()
 }
 
 // gossip announces to a random peer at intervals, so that a lost announcement
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lentilbend.example/internal/choice"
@@ -26,9 +27,17 @@
 // for VMs that do not know of each other yet.
 const budgetKept = 0.8
 
+// readers is how many coordinators wait for changes of the platform; the loss
+// of one goes unnoticed.
+const readers = 2
+
 // probeIdle is how long a connection for probes is kept: servers close theirs
 // after some ten seconds.
-const probeIdle = 5 * time.Second
+const probeIdle = 9 * time.Second
+
+// watchEvery is the time between looks at a request in flight: a slow spell is
+// noticed soon enough to answer in time from another server.
+const watchEvery = 60 * time.Millisecond
 
 // peerTimes are the times of streams in a fleet without a list, where a VM must
 // serve within a second of its start.
@@ -88,13 +97,17 @@
 	s := p.Settings
 	p.store.Parse = deployment.Parse
 	p.watcher = &platform.Watcher{
-		Source:      &deployment.Source{Address: s.Platform.Addresses[0], Timeout: s.Platform.Timeout},
-		Store:       p.store,
-		Logger:      p.root.Part("platform"),
-		Forgotten:   func(err error) bool { return errors.Is(err, deployment.ErrForgotten) },
-		Coordinates: func() bool { return p.open.State().Coordinates },
-		Covered:     func() (time.Duration, bool) { return p.relay.Covered() },
-		VMs:         func() int { return len(p.open.State().Live) },
+		Source:    &deployment.Source{Address: s.Platform.Addresses[0], Timeout: s.Platform.Timeout},
+		Store:     p.store,
+		Logger:    p.root.Part("platform"),
+		Forgotten: func(err error) bool { return errors.Is(err, deployment.ErrForgotten) },
+		Reads: func() bool {
+			t := p.open.State()
+			return slices.Contains(t.Coordinators[:min(readers, len(t.Coordinators))], s.Peer.Address)
+		},
+		OnRead:  func() { p.relay.Beat() },
+		Covered: func() (time.Duration, bool) { return p.relay.Covered() },
+		VMs:     func() int { return len(p.open.State().Live) },
 	}
 	p.watcher.Register(p.registry)
 	p.parts["Platform"] = p.watcher
@@ -115,6 +128,7 @@
 		DisableCompression:  true,
 	}
 	p.services.Ask = p.prober.Ask
+	p.services.Watch = p.prober.Watch
 	p.throttle = &throttle.Filter{Limits: p.workspaces, Logger: p.root.Part("throttle")}
 	p.registry.MustRegister(p.throttle)
 	p.forwarderBudget = backend.Budget{
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -29,11 +29,13 @@
 	if p.isOpen() {
 		// Each connection that servers accept has a price there.
 		p.pools.Ahead = 0
+		p.pools.SweepEvery = watchEvery
 	}
 	p.registry.MustRegister(&pool.Collector{Set: p.pools})
 	p.forwarder = &backend.Forwarder{
 		Pools:     p.pools,
 		Chooser:   p.services,
+		Logger:    p.root.Part("backend"),
 		BodyLimit: p.Settings.Limits.Body,
 		Budget:    p.forwarderBudget,
 	}
@@ -49,6 +51,7 @@
 		},
 	}
 	if p.isOpen() {
+		p.forwarder.WatchEvery = watchEvery
 		p.caller.Handler.Dialect = deployment.Dialect()
 	}
 	p.parts["Backend"] = p.forwarder
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -93,7 +93,7 @@
 // Run serves until SIGTERM or SIGINT and a planned stop, or until a part
 // fails. A second signal ends at once.
 func (p *Process) Run() error {
-	tuneMemory(p.Settings.Limits.Memory)
+	tuneMemory(p.Settings.Limits.Memory, p.Settings.Limits.Garbage)
 	if err := p.build(); err != nil {
 		return err
 	}
--- a/lentilbend/internal/settings/check.go
+++ b/lentilbend/internal/settings/check.go
@@ -39,6 +39,7 @@
 	c.that(s.Limits.Header >= 1024, "Limits.Header", "must be at least 1024 bytes")
 	c.that(s.Limits.Body >= 0, "Limits.Body", "must not be negative")
 	c.that(s.Limits.Memory >= 64<<20, "Limits.Memory", "must be at least 67108864 bytes")
+	c.that(s.Limits.Garbage > 0, "Limits.Garbage", "must be over 0")
 	c.fleet(s.Fleet)
 	return c.found.All()
 }
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -127,6 +127,10 @@
 	// Memory is what the process may take before it collects garbage more
 	// often, in bytes; about half of a small VM's memory.
 	Memory int64 `document:"optional"`
+	// Garbage is by how many percent the heap may grow before it is collected.
+	// The live heap is small, so that 100 collects tens of times a second
+	// under load.
+	Garbage int `document:"optional"`
 }
 
 // Forms of the platform's service.
@@ -172,6 +176,6 @@
 		},
 		Log:    Log{Level: "info", Format: "logfmt"},
 		Stop:   Stop{Wait: 5 * time.Second, Timeout: time.Minute},
-		Limits: Sizes{Header: 64 << 10, Body: 64 << 20, Memory: 512 << 20},
+		Limits: Sizes{Header: 64 << 10, Body: 64 << 20, Memory: 512 << 20, Garbage: 800},
 	}
 }
