Hold the rates of workspaces over kills and cuts

Change: buckets start empty when a VM becomes a coordinator; its answers count after two reports; until then equal shares, of the VMs met once that settled; silent VMs are noticed by the coordinators; a smaller side of a cut keeps to its shares. A model in virtual time plays kills, cuts and hot workspaces.

--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -13,14 +15,20 @@
 
 // Parameters of the limits.
 const (
-	// answerFresh is how long a coordinator's answer counts: four reports.
-	answerFresh = 4 * reportEvery
+	// answerFresh is how long a coordinator's answer counts.
+	answerFresh = silentAfter
 	// demandWeight is the weight of the latest report in a workspace's demand.
 	demandWeight = 0.4
+	// rareDeviations is how many standard deviations of a count are rarely
+	// passed by chance.
+	rareDeviations = 2
 	// settleIn is the time in which a bucket's excess or debt is evened out.
 	settleIn = time.Second
+	// youngFor is how long a process does not know yet what is asked of the
+	// fleet: two reports.
+	youngFor = 2 * reportEvery
 	// unknownVMs stands for the size of a fleet of which nothing is heard yet.
-	unknownVMs = 16
+	unknownVMs = 32
 	// whole is the part that lets everything pass, in thousandths.
 	whole = 1000
 )
@@ -45,10 +53,17 @@
 type Limits struct {
 	Overage Overage
 	// Count returns how many VMs there are, this one included, and whether
-	// any other was heard.
+	// that has settled since the process began.
 	Count func() (int, bool)
+	// Rand is the source of chance; nil for a random one.
+	Rand *rand.Rand
 
-	mu     sync.Mutex
+	mu    sync.Mutex
+	began time.Time
+	// since is when this VM became a coordinator.
+	since time.Time
+	// scale is by how much the limits are scaled at present.
+	scale  float64
 	limits map[uint64]Limit
 	own    map[uint64]*use
 	// parts hold the newest answer of each coordinator.
@@ -127,7 +142,9 @@
 	}
 	u := l.own[workspace]
 	if u == nil {
-		u = &use{tokens: 1, filled: now, credit: 1}
+		// Credit by chance keeps many VMs from letting one request each pass
+		// at once.
+		u = &use{tokens: l.chance(), filled: now, credit: l.chance()}
 		l.own[workspace] = u
 	}
 	u.wanted++
@@ -138,10 +155,18 @@
 	return v
 }
 
+// chance returns a number of at least 0 and below 1.
+func (l *Limits) chance() float64 {
+	if l.Rand == nil {
+		return rand.Float64()
+	}
+	return l.Rand.Float64()
+}
+
 func (l *Limits) decide(now time.Time, workspace uint64, m Limit, u *use) Verdict {
-	n, heard := l.Count()
-	if !heard {
-		n = unknownVMs
+	n, settled := l.Count()
+	if !settled {
+		n = max(n, unknownVMs)
 	}
 	u.fill(now, m, n)
 	p := l.best(now)
@@ -177,7 +202,8 @@
 func (l *Limits) best(now time.Time) *parts {
 	var b *parts
 	for _, p := range l.parts {
-		if now.Sub(p.at) >= answerFresh {
+		// One that hears only itself knows no more than the equal share.
+		if now.Sub(p.at) >= answerFresh || p.reporting < 2 {
 			continue
 		}
 		if b == nil || p.reporting > b.reporting || p.reporting == b.reporting && p.at.After(b.at) {
@@ -199,7 +225,8 @@
 }
 
 // report takes the counts of a VM.
-func (l *Limits) report(now time.Time, from member.ID, us []*peerpb.WorkspaceUse) {
+// Those that a young process did before its first report here are of late.
+func (l *Limits) report(now time.Time, from member.ID, young bool, us []*peerpb.WorkspaceUse) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, known := l.seen[from]
@@ -214,7 +241,7 @@
 		n := counts{wanted: max(o.wanted, u.GetWanted()), granted: max(o.granted, u.GetGranted())}
 		s[u.GetWorkspace()] = n
 		// What a VM did before it first reported here lies in the past.
-		if known {
+		if known || young {
 			l.add(now, u.GetWorkspace(), n.wanted-o.wanted, n.granted-o.granted)
 		}
 	}
@@ -228,21 +255,50 @@
 	}
 	t := l.totals[workspace]
 	if t == nil {
-		t = &total{level: m.Burst, filled: now, marked: now}
+		// What others granted just before this VM became a coordinator counts
+		// too, so that a bucket starts empty then.
+		t = &total{filled: l.since, marked: now}
 		l.totals[workspace] = t
 	}
-	t.refill(now, m.Burst, m.Rate*(1+l.spent()))
+	t.refill(now, m, l.scale)
 	t.level -= float64(granted)
 	t.wanted += wanted
 }
 
-// spent is the part of the overage that is used while all VMs are heard.
+// spentPart is the part of the overage that is used while all VMs are heard; the
+// rest is for what passes before a rise in demand is known to all.
+const spentPart = 0.1
+
+// burstKept is the part of a burst that a coordinator grants: one more may do so
+// unseen when the fleet is cut.
+const burstKept = 0.7
+
+// spent is the part of the limits that passes beyond them while all VMs are
+// heard.
 func (l *Limits) spent() float64 {
-	return l.Overage.Part / 2
+	return l.Overage.Part * spentPart
+}
+
+// start sets the time at which the process began.
+func (l *Limits) start(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.began, l.since = now, now
+	l.scale = 1
 }
 
-func (t *total) refill(now time.Time, burst, rate float64) {
-	t.level = min(burst, t.level+now.Sub(t.filled).Seconds()*rate)
+// coordinate forgets what this VM knew when it was last a coordinator.
+func (l *Limits) coordinate(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since = now
+	clear(l.totals)
+	clear(l.seen)
+}
+
+// refill adds what the limit, scaled, gave since the last time.
+func (t *total) refill(now time.Time, m Limit, scale float64) {
+	t.level = min(m.Burst*burstKept*min(1, scale), t.level+now.Sub(t.filled).Seconds()*m.Rate*scale)
 	t.filled = now
 }
 
@@ -254,9 +310,9 @@
 	}
 	x := float64(t.wanted) / d.Seconds()
 	t.demand += demandWeight * (x - t.demand)
-	if x > t.demand {
-		t.demand = x
-	}
+	// A rise that is no chance counts at once.
+	sure := (float64(t.wanted) - rareDeviations*math.Sqrt(float64(t.wanted))) / d.Seconds()
+	t.demand = max(t.demand, sure)
 	t.wanted, t.marked = 0, now
 }
 
@@ -265,7 +321,7 @@
 func (l *Limits) grants(now time.Time, reporting, silent int) []*peerpb.WorkspaceGrant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	factor := l.factor(reporting, silent)
+	l.scale = l.factor(reporting, silent)
 	var gs []*peerpb.WorkspaceGrant
 	for w, t := range l.totals {
 		m := l.limits[w]
@@ -273,10 +329,9 @@
 			delete(l.totals, w)
 			continue
 		}
-		rate := m.Rate * factor
-		t.refill(now, m.Burst, rate)
+		t.refill(now, m, l.scale)
 		t.measure(now)
-		may := max(0, rate+t.level/settleIn.Seconds())
+		may := max(0, m.Rate*l.scale+t.level/settleIn.Seconds())
 		if t.demand <= may {
 			continue
 		}
@@ -308,7 +363,7 @@
 func (l *Limits) answered(now time.Time, from netip.AddrPort, a *peerpb.FleetAnswer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.parts == nil {
+	if l.parts == nil || time.Duration(a.GetSinceMillis())*time.Millisecond < youngFor {
 		return
 	}
 	p := &parts{at: now, reporting: a.GetReporting(), of: map[uint64]uint32{}}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,8 +33,8 @@
 	// what comes in about two of them.
 	reportEvery = 250 * time.Millisecond
 	// silentAfter is how long a VM is not heard before it counts as silent:
-	// four reports.
-	silentAfter = 4 * reportEvery
+	// two reports and a part of one for their way.
+	silentAfter = 2*reportEvery + reportEvery/2
 	// retryAfter is how long a coordinator that did not answer is passed over.
 	retryAfter = 2 * time.Second
 	// seedEvery is the time between reports to a seed, which join parts of a
@@ -66,12 +66,19 @@
 	// Limits shares out the workspaces' limits; it may be nil.
 	Limits *Limits
 
-	began    time.Time
-	number   uint64
-	reported time.Time
-	seeded   time.Time
-	seed     int
-	leaving  bool
+	began        time.Time
+	coordinators []netip.AddrPort
+	number       uint64
+	reported     time.Time
+	seeded       time.Time
+	seed         int
+	leaving      bool
+	// since is when this VM became a coordinator.
+	since time.Time
+	// met is when a VM was last heard for the first time.
+	met time.Time
+	// idle says that this VM was no coordinator at the last tick.
+	idle bool
 	// answered is when a coordinator last answered.
 	answered time.Time
 	vms      map[netip.AddrPort]*vm
@@ -109,13 +116,18 @@
 
 // Start sets the time at which the process began.
 func (r *Roster) Start(now time.Time) {
-	r.began = now
+	r.began, r.since = now, now
 	r.vms = map[netip.AddrPort]*vm{}
+	if r.Limits != nil {
+		r.Limits.start(now)
+	}
 }
 
 // Tick sends the reports that are due.
 func (r *Roster) Tick(now time.Time) []Send {
 	r.forget(now)
+	r.elect(now)
+	r.watch(now)
 	if now.Sub(r.reported) < reportEvery {
 		return nil
 	}
@@ -123,7 +135,7 @@
 	r.number++
 	q := r.report(now)
 	var ss []Send
-	for _, a := range r.Coordinators(now) {
+	for _, a := range r.coordinators {
 		if a == r.Self.Address {
 			r.takeReport(now, r.Self, q)
 			r.takeOwn(now)
@@ -131,14 +143,15 @@
 		}
 		ss = append(ss, r.ask(now, a, q))
 	}
-	if a, ok := r.nextSeed(now); ok {
+	for _, a := range r.seedsDue(now) {
 		ss = append(ss, r.ask(now, a, q))
 	}
 	return ss
 }
 
 func (r *Roster) report(now time.Time) *peerpb.FleetReport {
-	q := &peerpb.FleetReport{Number: r.number, Known: r.hash(now), Leaving: r.leaving, Capacity: uint32(r.Capacity)}
+	q := &peerpb.FleetReport{Number: r.number, Known: r.hash(now), Leaving: r.leaving, Capacity: uint32(r.Capacity),
+		UptimeMillis: uint64(now.Sub(r.began).Milliseconds())}
 	if r.Limits != nil {
 		q.Uses = r.Limits.uses()
 	}
@@ -156,19 +169,21 @@
 	return Send{To: a, Report: q}
 }
 
-// nextSeed returns the seed whose turn it is, unless it is reported to anyway.
-func (r *Roster) nextSeed(now time.Time) (netip.AddrPort, bool) {
-	every := seedEvery
-	if len(r.vms) == 0 {
-		every = reportEvery
-	}
-	if len(r.Seeds) == 0 || now.Sub(r.seeded) < every {
-		return netip.AddrPort{}, false
-	}
-	r.seeded = now
-	r.seed++
-	a := r.Seeds[r.seed%len(r.Seeds)]
-	return a, a != r.Self.Address && !slices.Contains(r.Coordinators(now), a)
+// seedsDue returns the seeds to report to: all while nobody was heard, else
+// the one whose turn it is. Those that are reported to anyway are left out.
+func (r *Roster) seedsDue(now time.Time) []netip.AddrPort {
+	var as []netip.AddrPort
+	switch {
+	case len(r.vms) == 0:
+		as = slices.Clone(r.Seeds)
+	case len(r.Seeds) > 0 && now.Sub(r.seeded) >= seedEvery:
+		r.seeded = now
+		r.seed++
+		as = []netip.AddrPort{r.Seeds[r.seed%len(r.Seeds)]}
+	}
+	return slices.DeleteFunc(as, func(a netip.AddrPort) bool {
+		return a == r.Self.Address || slices.Contains(r.coordinators, a)
+	})
 }
 
 // Leave announces the end of this process to all that it reports to.
@@ -194,7 +209,8 @@
 
 func (r *Roster) takeReport(now time.Time, from member.ID, q *peerpb.FleetReport) {
 	if r.Limits != nil {
-		r.Limits.report(now, from, q.GetUses())
+		young := time.Duration(q.GetUptimeMillis())*time.Millisecond < youngFor
+		r.Limits.report(now, from, young, q.GetUses())
 	}
 }
 
@@ -208,6 +224,9 @@
 		if v != nil && r.Limits != nil {
 			r.Limits.ended(v.id)
 		}
+		if v == nil {
+			r.met = now
+		}
 		v = &vm{id: id, last: now}
 		r.vms[id.Address] = v
 	}
@@ -217,9 +236,9 @@
 
 func (r *Roster) answer(now time.Time, to member.ID, q *peerpb.FleetReport) *peerpb.FleetAnswer {
 	a := &peerpb.FleetAnswer{
-		Number:       q.GetNumber(),
-		Reporting:    uint32(r.reporting(now)),
-		UptimeMillis: uint64(now.Sub(r.began).Milliseconds()),
+		Number:      q.GetNumber(),
+		Reporting:   uint32(r.reporting(now)),
+		SinceMillis: uint64(now.Sub(r.since).Milliseconds()),
 	}
 	if v := r.vms[to.Address]; v != nil && q.GetKnown() != r.hash(now) && now.Sub(v.listed) >= listEvery {
 		v.listed = now
@@ -284,9 +303,14 @@
 	v = r.vms[from.Address]
 	v.asked, v.failed = time.Time{}, time.Time{}
 	r.answered = now
+	known := len(r.vms)
 	for _, m := range a.GetMembers() {
 		r.learn(now, m)
 	}
+	if len(r.vms) > known {
+		// The coordinators may be others now, so that the next report is due.
+		r.reported = time.Time{}
+	}
 	if r.Limits != nil {
 		r.Limits.answered(now, from.Address, a)
 	}
@@ -317,6 +341,28 @@
 	r.hear(now, id, int(m.GetCapacity()))
 }
 
+// watch marks the VMs as silent that no longer report to this coordinator. All
+// report to it once it has been one for a while.
+func (r *Roster) watch(now time.Time) {
+	if !r.Coordinates() {
+		r.since = now
+		r.idle = true
+		return
+	}
+	if r.idle && r.Limits != nil {
+		r.Limits.coordinate(now)
+	}
+	r.idle = false
+	if now.Sub(r.since) < 2*silentAfter {
+		return
+	}
+	for _, v := range r.vms {
+		if now.Sub(v.direct) >= silentAfter && now.Sub(v.heard) >= silentAfter {
+			v.silent = true
+		}
+	}
+}
+
 // forget drops VMs that were silent for long.
 func (r *Roster) forget(now time.Time) {
 	for a, v := range r.vms {
@@ -361,8 +407,14 @@
 	return xxhash.Sum64(b[:])
 }
 
-// Coordinators returns the VMs to report to, best first.
-func (r *Roster) Coordinators(now time.Time) []netip.AddrPort {
+// Coordinators returns the VMs to report to, best first, as of the last tick.
+// Callers must not change it.
+func (r *Roster) Coordinators() []netip.AddrPort {
+	return r.coordinators
+}
+
+// elect finds the coordinators.
+func (r *Roster) elect(now time.Time) {
 	type candidate struct {
 		address  netip.AddrPort
 		capacity int
@@ -380,11 +432,10 @@
 	slices.SortFunc(cs, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(rank(b.address), rank(a.address)), a.address.Compare(b.address))
 	})
-	var as []netip.AddrPort
+	r.coordinators = nil
 	for _, c := range cs[:min(coordinators, len(cs))] {
-		as = append(as, c.address)
+		r.coordinators = append(r.coordinators, c.address)
 	}
-	return as
 }
 
 func rank(a netip.AddrPort) uint64 {
@@ -396,14 +447,14 @@
 }
 
 // Coordinates tells whether this VM is one of the coordinators by its own view.
-func (r *Roster) Coordinates(now time.Time) bool {
-	return slices.Contains(r.Coordinators(now), r.Self.Address)
+func (r *Roster) Coordinates() bool {
+	return slices.Contains(r.coordinators, r.Self.Address)
 }
 
 // Neighbours returns the VMs to keep streams with: the coordinators, and for a
 // coordinator those that report to it.
 func (r *Roster) Neighbours(now time.Time) []netip.AddrPort {
-	as := slices.DeleteFunc(r.Coordinators(now), func(a netip.AddrPort) bool { return a == r.Self.Address })
+	as := slices.DeleteFunc(slices.Clone(r.coordinators), func(a netip.AddrPort) bool { return a == r.Self.Address })
 	for a, v := range r.vms {
 		if v.ended.IsZero() && now.Sub(v.direct) < silentAfter && !slices.Contains(as, a) {
 			as = append(as, a)
@@ -437,6 +488,15 @@
 	return as
 }
 
+// settleTime is how long no VM must have been met for the fleet to be known.
+const settleTime = reportEvery
+
+// Settled tells whether the VMs of the fleet are known, so far as this process
+// can tell.
+func (r *Roster) Settled(now time.Time) bool {
+	return r.Joined() && (len(r.vms) == 0 || now.Sub(r.met) >= settleTime)
+}
+
 // Joined tells whether another VM was heard, or none is to be expected.
 func (r *Roster) Joined() bool {
 	if len(r.vms) > 0 {
@@ -451,6 +511,6 @@
 		return
 	}
 	n := r.reporting(now)
-	a := &peerpb.FleetAnswer{Reporting: uint32(n), Grants: r.Limits.grants(now, n, r.silent(now))}
+	a := &peerpb.FleetAnswer{SinceMillis: uint64(now.Sub(r.since).Milliseconds()), Reporting: uint32(n), Grants: r.Limits.grants(now, n, r.silent(now))}
 	r.Limits.answered(now, r.Self.Address, a)
 }
--- /dev/null
+++ b/internal/roster/world_test.go
@@ -0,0 +1,202 @@
+package roster_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/roster"
+)
+
+// world is a fleet in virtual time. Messages take a millisecond or so; cuts and
+// stopped processes lose them.
+type world struct {
+	rand   *rand.Rand
+	now    time.Time
+	queue  events
+	serial int
+	limit  roster.Limit
+	over   roster.Overage
+	nodes  []*node
+	seeds  []netip.AddrPort
+	// cut tells whether two nodes cannot reach each other.
+	cut func(a, b int) bool
+	// demand is in requests a second over all nodes.
+	demand func(t time.Duration) float64
+	began  time.Time
+	// grants are the times of the granted requests.
+	grants  []time.Time
+	refused int
+	lost    float64
+}
+
+type node struct {
+	index   int
+	address netip.AddrPort
+	up      bool
+	births  uint64
+	roster  *roster.Roster
+	limits  *roster.Limits
+}
+
+const workspace = 7
+
+func newWorld(seed uint64, vms int, l roster.Limit) *world {
+	w := &world{
+		rand:  rand.New(rand.NewPCG(seed, 1)),
+		now:   time.Unix(1_000_000, 0),
+		limit: l,
+		over:  roster.Overage{Part: 0.25, Requests: 20},
+		cut:   func(int, int) bool { return false },
+	}
+	w.began = w.now
+	for i := range vms {
+		a := netip.MustParseAddrPort(fmt.Sprintf("10.%d.%d.%d:7", i%3+1, i/200, i%200+1))
+		w.nodes = append(w.nodes, &node{index: i, address: a})
+	}
+	w.seeds = []netip.AddrPort{w.nodes[0].address, w.nodes[1].address, w.nodes[2].address}
+	for _, n := range w.nodes {
+		w.at(time.Duration(w.rand.IntN(300))*time.Millisecond, func() { w.start(n) })
+	}
+	return w
+}
+
+// start begins a new process of n.
+func (w *world) start(n *node) {
+	n.births++
+	n.up = true
+	l := &roster.Limits{Overage: w.over}
+	r := &roster.Roster{
+		Self:   member.ID{Address: n.address, Incarnation: uint64(w.now.UnixNano())},
+		Seeds:  w.seeds,
+		Limits: l,
+	}
+	l.Rand = rand.New(rand.NewPCG(w.rand.Uint64(), 2))
+	l.Count = func() (int, bool) { return r.Count(), r.Settled(w.now) }
+	l.Set(map[uint64]roster.Limit{workspace: w.limit})
+	r.Start(w.now)
+	n.roster, n.limits = r, l
+	w.tick(n, n.births)
+}
+
+func (w *world) stop(n *node) {
+	n.up = false
+	n.births++
+}
+
+func (w *world) tick(n *node, birth uint64) {
+	if !n.up || n.births != birth {
+		return
+	}
+	w.send(n, n.roster.Tick(w.now))
+	w.at(50*time.Millisecond, func() { w.tick(n, birth) })
+}
+
+func (w *world) find(a netip.AddrPort) *node {
+	for _, n := range w.nodes {
+		if n.address == a {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) send(from *node, ss []roster.Send) {
+	id := from.roster.Self
+	for _, s := range ss {
+		to := w.find(s.To)
+		d := time.Millisecond + time.Duration(w.rand.IntN(1000))*time.Microsecond
+		w.at(d, func() { w.deliver(from, id, to, s) })
+	}
+}
+
+func (w *world) deliver(from *node, id member.ID, to *node, s roster.Send) {
+	if !to.up || w.cut(from.index, to.index) {
+		return
+	}
+	if s.Report != nil {
+		w.send(to, to.roster.Receive(w.now, id, s.Report))
+	}
+	if s.Answer != nil {
+		to.roster.Answer(w.now, id, s.Answer)
+	}
+}
+
+// arrive makes one request at a random node, and plans the next.
+func (w *world) arrive() {
+	d := w.demand(w.now.Sub(w.began))
+	if d > 0 {
+		n := w.nodes[w.rand.IntN(len(w.nodes))]
+		if n.up {
+			if n.limits.Take(w.now, workspace).Granted {
+				w.grants = append(w.grants, w.now)
+			} else {
+				w.refused++
+			}
+		}
+	}
+	wait := -math.Log(1-w.rand.Float64()) / max(d, 1)
+	w.at(time.Duration(wait*float64(time.Second)), w.arrive)
+}
+
+func (w *world) at(d time.Duration, f func()) {
+	w.serial++
+	heap.Push(&w.queue, event{at: w.now.Add(d), serial: w.serial, do: f})
+}
+
+func (w *world) run(until time.Duration) {
+	end := w.began.Add(until)
+	for len(w.queue) > 0 && w.queue[0].at.Before(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// most returns the greatest number of grants in a window, and when it begins.
+func (w *world) most(window time.Duration) (int, time.Duration) {
+	most, when, j := 0, time.Duration(0), 0
+	for i := range w.grants {
+		for w.grants[i].Sub(w.grants[j]) >= window {
+			j++
+		}
+		if i-j+1 > most {
+			most, when = i-j+1, w.grants[j].Sub(w.began)
+		}
+	}
+	return most, when
+}
+
+// bound is what the page of the users allows in a window.
+func (w *world) bound(window time.Duration) float64 {
+	return (w.limit.Rate*window.Seconds()+w.limit.Burst)*(1+w.over.Part) + w.over.Requests
+}
+
+type event struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].serial < q[j].serial
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	o := *q
+	x := o[len(o)-1]
+	*q = o[:len(o)-1]
+	return x
+}
--- a/lentilbend/internal/openfleet/openfleet.go
+++ b/lentilbend/internal/openfleet/openfleet.go
@@ -50,6 +50,8 @@
 	Coordinators []netip.AddrPort
 	// Coordinates says that this VM is one of them.
 	Coordinates bool
+	// Settled says that no VM was met for the first time of late.
+	Settled bool
 	// Joined says that another VM was heard, or that none is expected.
 	Joined bool
 }
@@ -98,8 +100,9 @@
 		Live:         r.Live(now),
 		Count:        r.Count(),
 		Neighbours:   r.Neighbours(now),
-		Coordinators: r.Coordinators(now),
+		Coordinators: r.Coordinators(),
 		Joined:       r.Joined(),
+		Settled:      r.Settled(now),
 	}
 	n.Coordinates = slices.Contains(n.Coordinators, r.Self.Address)
 	to := slices.Clone(n.Neighbours)
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -71,7 +71,7 @@
 		Overage: roster.Overage{Part: s.Fleet.RateOverage, Requests: s.Fleet.RateTolerance},
 		Count: func() (int, bool) {
 			t := p.open.State()
-			return t.Count, t.Joined
+			return t.Count, t.Settled
 		},
 	}
 	p.workspaces.Set(nil)
