--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,9 @@
 	Revision uint64
 }
 
+// SettingsRead says that the settings file was read again.
+type SettingsRead struct{}
+
 // Stopping says that a planned stop began.
 type Stopping struct{}
 
@@ -45,4 +48,5 @@
 func (TableAccepted) topic() string { return "table-accepted" }
 func (TableRefused) topic() string  { return "table-refused" }
 func (ListRead) topic() string      { return "list-read" }
+func (SettingsRead) topic() string  { return "settings-read" }
 func (Stopping) topic() string      { return "stopping" }
--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -279,6 +279,13 @@
 	return l.Overage.Part * spentPart
 }
 
+// SetOverage replaces the overage.
+func (l *Limits) SetOverage(o Overage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Overage = o
+}
+
 // start sets the time at which the process began.
 func (l *Limits) start(now time.Time) {
 	l.mu.Lock()
--- a/lentilbend/internal/cli/cli.go
+++ b/lentilbend/internal/cli/cli.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			return err
 		}
-		p := &serve.Process{Settings: s}
+		p := &serve.Process{Settings: s, SettingsFile: file}
 		return p.Run()
 	}}
 }
--- a/lentilbend/internal/openfleet/openfleet.go
+++ b/lentilbend/internal/openfleet/openfleet.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// SetSeeds replaces the addresses by which the fleet is found.
+func (f *Fleet) SetSeeds(as []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Roster.Seeds = as
+}
+
 // State returns what is known of the fleet. Callers must not change it.
 func (f *Fleet) State() *State {
 	if s := f.state.Load(); s != nil {
--- a/lentilbend/internal/operator/server.go
+++ b/lentilbend/internal/operator/server.go
@@ -38,7 +38,8 @@
 	// Parts are dumped under their names.
 	Parts map[string]Dumper
 
-	server http.Server
+	server  http.Server
+	metrics http.Server
 }
 
 // Run serves until Close.
@@ -49,20 +50,43 @@
 	if err != nil {
 		return fmt.Errorf("operator: %w", err)
 	}
-	if s.Settings.Certificate != "" {
-		err = s.server.ServeTLS(l, s.Settings.Certificate, s.Settings.Key)
-	} else {
-		err = s.server.Serve(l)
+	ended := make(chan error, 2)
+	if s.Settings.Metrics.IsValid() {
+		m, err := net.Listen("tcp", s.Settings.Metrics.String())
+		if err != nil {
+			return errors.Join(fmt.Errorf("operator: %w", err), l.Close())
+		}
+		go func() { ended <- s.serveMetrics(m) }()
+	}
+	go func() { ended <- s.serve(l) }()
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("operator: %w", err)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	return nil
+}
+
+func (s *Server) serve(l net.Listener) error {
+	if s.Settings.Certificate != "" {
+		return s.server.ServeTLS(l, s.Settings.Certificate, s.Settings.Key)
 	}
-	return fmt.Errorf("operator: %w", err)
+	return s.server.Serve(l)
+}
+
+// serveMetrics serves the metrics at an address of their own.
+func (s *Server) serveMetrics(l net.Listener) error {
+	m := chi.NewRouter()
+	m.Method(http.MethodGet, "/metrics", s.metricsHandler())
+	s.metrics.Handler, s.metrics.ReadHeaderTimeout = m, headerTimeout
+	return s.metrics.Serve(l)
+}
+
+func (s *Server) metricsHandler() http.Handler {
+	return promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{})
 }
 
 // Close ends all connections.
 func (s *Server) Close() error {
-	return s.server.Close()
+	return errors.Join(s.server.Close(), s.metrics.Close())
 }
 
 func (s *Server) routes() http.Handler {
@@ -75,7 +99,7 @@
 	m.Get("/dump", s.dump)
 	m.Put("/log-level/{level}", s.level)
 	m.Mount("/debug", middleware.Profiler())
-	m.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
+	m.Method(http.MethodGet, "/metrics", s.metricsHandler())
 	return m
 }
 
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -48,6 +48,9 @@
 // Process is one entry VM's process. Set the exported fields before Run.
 type Process struct {
 	Settings *settings.Settings
+	// SettingsFile is read again when it changed or on SIGHUP; empty for
+	// settings that do not change.
+	SettingsFile string
 	// Signals brings the signals that stop the process; those of the system
 	// when nil.
 	Signals chan os.Signal
@@ -70,6 +73,7 @@
 	forwarder *backend.Forwarder
 	parts     map[string]operator.Dumper
 	stopping  atomic.Bool
+	reloads   chan struct{}
 
 	// open, watcher, workspaces and throttle stand in for fleet, reader,
 	// limits and rate where the platform lists no VMs.
@@ -122,6 +126,7 @@
 	}
 	run(func() error { return p.relay.Run(ctx) })
 	run(func() error { return p.runChoice(ctx, p.hub) })
+	run(func() error { return p.watchSettings(ctx) })
 	run(p.operator.Run)
 	run(func() error { return p.pools.Run(ctx) })
 	run(p.caller.Run)
@@ -129,14 +134,26 @@
 	signals := p.Signals
 	if signals == nil {
 		signals = make(chan os.Signal, 2)
-		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-		signal.Ignore(syscall.SIGHUP)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	}
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return p.stop(signals)
+			}
+			p.askReload()
+		}
+	}
+}
+
+// askReload has the settings read again, unless that is about to happen.
+func (p *Process) askReload() {
 	select {
-	case err := <-failed:
-		return err
-	case <-signals:
-		return p.stop(signals)
+	case p.reloads <- struct{}{}:
+	default:
 	}
 }
 
@@ -153,6 +170,7 @@
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.parts = map[string]operator.Dumper{}
+	p.reloads = make(chan struct{}, 1)
 	if p.isOpen() {
 		p.buildOpenFleet()
 	} else {
@@ -202,7 +220,21 @@
 	select {
 	case err := <-done:
 		return err
-	case <-signals:
+	case <-p.again(signals):
 		return errors.New("serve: second signal, ended at once")
 	}
 }
+
+// again returns a channel that is closed when a second signal asks for the end.
+func (p *Process) again(signals <-chan os.Signal) <-chan struct{} {
+	c := make(chan struct{})
+	go func() {
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				close(c)
+				return
+			}
+		}
+	}()
+	return c
+}
--- a/lentilbend/internal/settings/check.go
+++ b/lentilbend/internal/settings/check.go
@@ -35,6 +35,7 @@
 	c.wait("Peer.ListAge", s.Peer.ListAge)
 	c.wait("Platform.Timeout", s.Platform.Timeout)
 	c.wait("Stop.Timeout", s.Stop.Timeout)
+	c.that(s.Stop.Grace >= 0, "Stop.Grace", "must not be negative")
 	c.that(s.Stop.Wait >= 0, "Stop.Wait", "must not be negative")
 	c.that(s.Limits.Header >= 1024, "Limits.Header", "must be at least 1024 bytes")
 	c.that(s.Limits.Body >= 0, "Limits.Body", "must not be negative")
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -116,6 +116,26 @@
 	Wait time.Duration `document:"optional"`
 	// Timeout is how long running requests may take to end.
 	Timeout time.Duration `document:"optional"`
+	// Grace is when the process is killed after it was asked to stop. Where it
+	// is given, Wait and Timeout follow from it.
+	Grace time.Duration `document:"optional"`
+}
+
+// Parts of Stop.Grace.
+const (
+	// waitPart is the part in which work is still accepted: a balancer that
+	// asks each second leaves after two answers.
+	waitPart = 0.42
+	// gracePart is the part after which the process has ended.
+	gracePart = 0.95
+)
+
+// derive sets Wait and Timeout from Grace.
+func (s *Stop) derive() {
+	if s.Grace > 0 {
+		s.Wait = time.Duration(waitPart * float64(s.Grace))
+		s.Timeout = time.Duration(gracePart*float64(s.Grace)) - s.Wait
+	}
 }
 
 // Sizes bounds what a request may bring.
@@ -160,6 +180,7 @@
 	if len(fs) > 0 {
 		return nil, fs
 	}
+	s.Stop.derive()
 	if fs := s.check(doc); len(fs) > 0 {
 		return nil, fs
 	}
