Bound the logs, and log each refusal with its request's id

Cause: lines had no bound, an output that nobody reads would have stopped the process, and a refusal could not be found by its request. Change: lines of one kind are bounded by rate, the rest is counted; a queue before the output drops rather than waits; each refusal and each attempt without an answer in time is one line with the inputs that decided it.

--- a/internal/choice/probe.go
+++ b/internal/choice/probe.go
@@ -67,7 +67,7 @@
 	if s.score(p, tried) == tierNone {
 		return nil
 	}
-	order := s.Rand.Perm(len(s.servers))
+	order := s.neighbours()
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.scores[a], s.scores[b]) })
 	var as []netip.AddrPort
 	for _, i := range order[:min(n, len(order))] {
@@ -83,6 +83,26 @@
 	return as
 }
 
+// neighbourhood is how many servers of a service a VM asks before a choice. Each
+// connection that a server accepts has its price, and there are enough servers
+// among so many that are well and free.
+const neighbourhood = 24
+
+// neighbours returns the places of the servers that this VM asks, in random
+// order: all of a small service, else those that rendezvous hashing gives it.
+func (s *Set) neighbours() []int {
+	order := s.Rand.Perm(len(s.servers))
+	if len(order) <= neighbourhood {
+		return order
+	}
+	near := slices.Clone(order)
+	slices.SortFunc(near, func(a, b int) int {
+		return cmp.Compare(weight(s.Self, s.servers[b].address), weight(s.Self, s.servers[a].address))
+	})
+	near = slices.DeleteFunc(near[:min(2*neighbourhood, len(near))], func(i int) bool { return math.IsInf(s.scores[i], 1) })
+	return near[:min(neighbourhood, len(near))]
+}
+
 // Probed takes the answer to a probe, nil when there was none. It is one
 // witness: it ends a drain or a suspension, but only an answer to a request
 // ends a cold start.
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -34,6 +34,9 @@
 	// bytes of an answer from another data centre count as.
 	Home    string
 	FarCost time.Duration
+	// Self tells this VM apart from others, which ask other servers just
+	// before a choice where there are many.
+	Self netip.AddrPort
 
 	mu       sync.Mutex
 	inFlight int
--- a/lentilbend/internal/caller/handler.go
+++ b/lentilbend/internal/caller/handler.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"lentilbend.example/internal/dialect"
 	"lentilbend.example/internal/table"
 
@@ -23,6 +26,8 @@
 	Dialect *dialect.Dialect
 	// HeaderLimit is the largest header of a request, in bytes.
 	HeaderLimit int
+	// Logger takes a line for each refusal; nil for none.
+	Logger log.Logger
 	// Metrics takes what became of each request; it may be nil.
 	Metrics *Metrics
 
@@ -52,6 +57,9 @@
 	if h.Metrics != nil {
 		defer h.Metrics.ended(x)
 	}
+	if h.Logger != nil {
+		defer h.note(x)
+	}
 	if f := h.check(x); f != nil {
 		x.Refuse(*f)
 		return
@@ -59,6 +67,30 @@
 	h.Next.Serve(x)
 }
 
+// note logs how an exchange ended that brought no answer of a backend server.
+func (h *Handler) note(x *exchange.Exchange) {
+	if x.Refused == nil && !x.Aborted {
+		return
+	}
+	kv := []any{"msg", "Request was refused.", "id", x.ID}
+	if x.Aborted {
+		kv[1] = "Request was cut."
+	} else {
+		kv = append(kv, "status", x.Status, "cause", x.Refused.Cause, "run", x.Refused.Run, "retryAfter", x.Refused.RetryAfter)
+	}
+	if x.Route != nil {
+		kv = append(kv, "kind", x.Route.Kind, "service", x.Service.Name, "left", time.Until(x.Deadline).Round(time.Millisecond))
+	}
+	if x.Workspace != nil {
+		kv = append(kv, "workspace", x.Workspace.Name)
+	}
+	if x.Table != nil {
+		kv = append(kv, "table", x.Table.Revision)
+	}
+	kv = append(kv, "attempts", x.Attempts, "took", time.Since(x.Received).Round(time.Millisecond))
+	_ = level.Info(h.Logger).Log(kv...)
+}
+
 // headerLimit returns the largest header, by the table where it has one.
 func (h *Handler) headerLimit(t *table.Table) int {
 	if t.Sizes.Header > 0 {
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -40,6 +40,7 @@
 	// Home and FarCost weigh answers from other data centres; see choice.Set.
 	Home    string
 	FarCost time.Duration
+	Self    netip.AddrPort
 	// Stated says that servers state their cold starts.
 	Stated bool
 	// Cold and Probes return the allowances of a service; nil for this VM's
@@ -146,7 +147,7 @@
 	_ = level.Info(s.Logger).Log("msg", "Choosing servers.", "service", name)
 	v := &service{cold: &choice.Local{}, probes: &choice.Local{Together: true}}
 	v.gate = &fair.Gate{}
-	v.set = &choice.Set{Service: name, New: s.services.Load() != nil, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake, Home: s.Home, FarCost: s.FarCost}
+	v.set = &choice.Set{Service: name, New: s.services.Load() != nil, Policy: s.Policy, Cold: v.cold, Probes: v.probes, Observe: v.observe, Wake: s.Wake, Home: s.Home, FarCost: s.FarCost, Self: s.Self}
 	if s.Cold != nil {
 		v.set.Cold = s.Cold(name)
 	}
--- a/lentilbend/internal/openfleet/openfleet.go
+++ b/lentilbend/internal/openfleet/openfleet.go
@@ -26,6 +26,9 @@
 	Send(to netip.AddrPort, f *peerpb.Frame) bool
 }
 
+// publishEvery is the least time between two workings out of the state.
+const publishEvery = 40 * time.Millisecond
+
 // Fleet is this VM's view of the fleet. Set the exported fields before Run.
 type Fleet struct {
 	Roster    *roster.Roster
@@ -33,9 +36,11 @@
 	Bus       *event.Bus
 	Logger    log.Logger
 
-	mu    sync.Mutex
-	to    []netip.AddrPort
-	state atomic.Pointer[State]
+	mu sync.Mutex
+	to []netip.AddrPort
+	// published is when state was last worked out.
+	published time.Time
+	state     atomic.Pointer[State]
 }
 
 // State is what other parts read of the fleet without a lock.
@@ -77,8 +82,14 @@
 func (f *Fleet) do(step func(time.Time) []roster.Send) {
 	f.mu.Lock()
 	now := time.Now()
+	known := f.Roster.Count()
 	ss := step(now)
-	f.publish(now, ss)
+	// The state of a large fleet takes a while to work out, so that it is left
+	// to the ticks unless a message brought a VM.
+	if now.Sub(f.published) >= publishEvery || f.Roster.Count() != known {
+		f.published = now
+		f.publish(now, ss)
+	}
 	f.mu.Unlock()
 	for _, s := range ss {
 		m := &peerpb.Frame{}
--- a/lentilbend/internal/platform/watcher.go
+++ b/lentilbend/internal/platform/watcher.go
@@ -28,6 +28,10 @@
 	coveredFor = 1250 * time.Millisecond
 	// coveredCheck is the time between looks at that proof.
 	coveredCheck = 100 * time.Millisecond
+	// helloFor is how long a process that just began waits to hear of others,
+	// and relayFor how long for their values, before it reads itself.
+	helloFor = 150 * time.Millisecond
+	relayFor = 600 * time.Millisecond
 	// missingFor is how long a value that was deleted while the platform
 	// could not be read counts on, since its writer may write it again.
 	missingFor = 2 * time.Second
@@ -68,6 +72,8 @@
 	// Covered returns since when a peer's reads are known to hold here; false
 	// when there is no such peer.
 	Covered func() (time.Duration, bool)
+	// Began is when the process began.
+	Began time.Time
 	// VMs returns how many VMs are heard, this one included.
 	VMs func() int
 
@@ -90,7 +96,7 @@
 	for ctx.Err() == nil {
 		if w.covered() {
 			w.reading.Store(false)
-			timer.Sleep(ctx, coveredCheck)
+			timer.Sleep(ctx, coveredCheck/2)
 			continue
 		}
 		ok, changed := w.step(ctx)
@@ -111,7 +117,15 @@
 
 // covered tells whether this VM may leave the reading to others.
 func (w *Watcher) covered() bool {
-	if w.Store.Table() == nil || w.Reads() {
+	if w.Store.Table() == nil {
+		// Peers may bring the values, which costs the platform nothing.
+		wait := helloFor
+		if !w.Reads() {
+			wait = relayFor
+		}
+		return time.Since(w.Began) < wait
+	}
+	if w.Reads() {
 		return false
 	}
 	d, ok := w.Covered()
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -23,6 +23,10 @@
 	"lentilbend.example/lentilbend/internal/settings"
 )
 
+// capacityScale turns the capacity of the settings, which may be a part of a
+// core, into whole numbers.
+const capacityScale = 1000
+
 // budgetKept is the part of a bound over all VMs that is shared out; the rest is
 // for VMs that do not know of each other yet.
 const budgetKept = 0.8
@@ -78,7 +82,7 @@
 	p.open = &openfleet.Fleet{
 		Roster: &roster.Roster{
 			Self:     id,
-			Capacity: int(s.Fleet.Capacity),
+			Capacity: int(capacityScale * s.Fleet.Capacity),
 			Seeds:    s.Peer.Seeds,
 			Limits:   p.workspaces,
 		},
@@ -108,6 +112,7 @@
 		OnRead:  func() { p.relay.Beat() },
 		Covered: func() (time.Duration, bool) { return p.relay.Covered() },
 		VMs:     func() int { return len(p.open.State().Live) },
+		Began:   p.started,
 	}
 	p.watcher.Register(p.registry)
 	p.parts["Platform"] = p.watcher
@@ -120,6 +125,7 @@
 	p.services.Entries = func() int { return p.open.State().Count }
 	p.services.Cold = func(string) choice.Allowance { return p.coldSponsor() }
 	p.services.Home = p.Settings.DataCentre
+	p.services.Self = p.Settings.Peer.Address
 	p.services.FarCost = p.Settings.Fleet.FarCost
 	p.prober.Load = deployment.Dialect().Load
 	p.prober.Transport = &http.Transport{
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -48,6 +48,7 @@
 			Next:        p.filters(),
 			HeaderLimit: p.Settings.Limits.Header,
 			Metrics:     caller.NewMetrics(p.registry),
+			Logger:      p.root.Part("caller"),
 		},
 	}
 	if p.isOpen() {
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -101,6 +101,7 @@
 	if err := p.build(); err != nil {
 		return err
 	}
+	defer p.root.Flush()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 8)
@@ -169,6 +170,10 @@
 	p.timer = &timer.Service{Bus: p.bus, Resolution: tickResolution, PauseAfter: pauseAfter}
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "lentilbend_log_dropped_total",
+		Help: "Log lines that were left out, over their rate or for an output that is not read.",
+	}, func() float64 { return float64(p.root.Dropped()) }))
 	p.parts = map[string]operator.Dumper{}
 	p.reloads = make(chan struct{}, 1)
 	if p.isOpen() {
