--- a/lentilbend/internal/backend/order_test.go
+++ b/lentilbend/internal/backend/order_test.go
@@ -16,19 +16,22 @@
 func (inOrder) Choose(_ time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, bool) {
 	for _, s := range x.Service.Servers {
 		if !slices.Contains(tried, s.Address) {
-			return call(s.Address), true
+			return call{s.Address, s.Name}, true
 		}
 	}
 	return nil, false
 }
 
-type call netip.AddrPort
+type call struct {
+	address netip.AddrPort
+	name    string
+}
 
-func (c call) Name() string { return "" }
+func (c call) Name() string { return c.name }
 
 func (c call) Basis() choice.Basis { return choice.Basis{} }
 
-func (c call) Server() netip.AddrPort      { return netip.AddrPort(c) }
+func (c call) Server() netip.AddrPort      { return c.address }
 func (call) End(time.Time, choice.Outcome) {}
 
 // pausing chooses in order and pauses after the choice.
@@ -41,3 +44,10 @@
 	defer p.pause()
 	return p.inOrder.Choose(now, x, tried)
 }
+
+// nobody finds no server.
+type nobody struct{}
+
+func (nobody) Choose(time.Time, *exchange.Exchange, []netip.AddrPort) (choice.Call, bool) {
+	return nil, false
+}
--- a/lentilbend/internal/serve/choice.go
+++ b/lentilbend/internal/serve/choice.go
@@ -20,7 +20,10 @@
 	// choiceEvery is the time between looks at waiting requests and at news
 	// that was held back.
 	choiceEvery = 10 * time.Millisecond
-	probeEvery  = 500 * time.Millisecond
+	// choiceEveryOpen is the same on small VMs whose processor time has a
+	// price; requests take some hundred milliseconds there.
+	choiceEveryOpen = 40 * time.Millisecond
+	probeEvery      = 500 * time.Millisecond
 )
 
 // buildChoice makes the part that chooses backend servers.
@@ -50,7 +53,11 @@
 	}
 	refresh()
 	go p.probe(ctx)
-	t := time.NewTicker(choiceEvery)
+	every := choiceEvery
+	if p.isOpen() {
+		every = choiceEveryOpen
+	}
+	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
 		select {
