Report a rise at once, and begin with a debt where coordinators were cut off

Change: a VM reports early when a workspace wants more than usual; a VM that becomes a coordinator later starts half a second of each rate in debt.

--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -22,6 +22,10 @@
 	// rareDeviations is how many standard deviations of a count are rarely
 	// passed by chance.
 	rareDeviations = 2
+	// surgeLeast and surgeFactor say how many requests beyond the usual make a
+	// report due early.
+	surgeLeast  = 4.0
+	surgeFactor = 2.0
 	// settleIn is the time in which a bucket's excess or debt is evened out.
 	settleIn = time.Second
 	// youngFor is how long a process does not know yet what is asked of the
@@ -62,6 +66,11 @@
 	began time.Time
 	// since is when this VM became a coordinator.
 	since time.Time
+	// debt is what other coordinators may have granted too much just before
+	// this VM became one, in seconds of a rate.
+	debt float64
+	// surges says that a workspace wants more than usual.
+	surges bool
 	// scale is by how much the limits are scaled at present.
 	scale  float64
 	limits map[uint64]Limit
@@ -81,6 +90,14 @@
 	// tokens are those of the equal share, for when no coordinator is heard.
 	tokens float64
 	filled time.Time
+	// told is what of wanted was reported, and usual how much a report tells.
+	told  uint64
+	usual float64
+}
+
+// surge tells whether more is wanted since the last report than usual.
+func (u *use) surge() bool {
+	return float64(u.wanted-u.told) > max(surgeLeast, surgeFactor*u.usual)
 }
 
 type counts struct {
@@ -148,6 +165,9 @@
 		l.own[workspace] = u
 	}
 	u.wanted++
+	if u.surge() {
+		l.surges = true
+	}
 	v := l.decide(now, workspace, m, u)
 	if v.Granted {
 		u.granted++
@@ -198,6 +218,13 @@
 	u.tokens = min(most, u.tokens+d*m.Rate/float64(n))
 }
 
+// surging tells whether a report is due early.
+func (l *Limits) surging() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.surges
+}
+
 // best returns the fresh answer of the coordinator that hears most VMs.
 func (l *Limits) best(now time.Time) *parts {
 	var b *parts
@@ -218,7 +245,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	us := make([]*peerpb.WorkspaceUse, 0, len(l.own))
+	l.surges = false
 	for w, u := range l.own {
+		u.usual += demandWeight * (float64(u.wanted-u.told) - u.usual)
+		u.told = u.wanted
 		us = append(us, &peerpb.WorkspaceUse{Workspace: w, Wanted: u.wanted, Granted: u.granted})
 	}
 	return us
@@ -257,7 +287,7 @@
 	if t == nil {
 		// What others granted just before this VM became a coordinator counts
 		// too, so that a bucket starts empty then.
-		t = &total{filled: l.since, marked: now}
+		t = &total{filled: l.since, marked: now, level: -l.debt * m.Rate}
 		l.totals[workspace] = t
 	}
 	t.refill(now, m, l.scale)
@@ -298,7 +328,7 @@
 func (l *Limits) coordinate(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.since = now
+	l.since, l.debt = now, unseenGrants
 	clear(l.totals)
 	clear(l.seen)
 }
@@ -351,6 +381,10 @@
 // larger side of a cut.
 const minority = 0.45
 
+// unseenGrants is for how long a rise in demand passes before the coordinators
+// know it, about.
+const unseenGrants = 0.5
+
 // overageKept is the part of the limits that is left unused for reports that
 // are late.
 const overageKept = 0.05
--- a/internal/roster/limits_test.go
+++ b/internal/roster/limits_test.go
@@ -65,10 +65,10 @@
 		})
 	}
 	// cutOff cuts a part of the VMs off from all others for some seconds.
-	cutOff := func(part float64) func(*world) {
+	cutOff := func(part float64, at time.Duration) func(*world) {
 		return func(w *world) {
 			off := map[int]bool{}
-			w.at(9*time.Second, func() {
+			w.at(at, func() {
 				for _, i := range w.rand.Perm(len(w.nodes))[:int(part*float64(len(w.nodes)))] {
 					off[i] = true
 				}
@@ -94,12 +94,14 @@
 		Entry("when all VMs are killed", 14, 97.0, 0.6, 4.1, killAll),
 		Entry("when all VMs of a hotter workspace are killed", 18, 50.0, 0.6, 8.0, killAll),
 		Entry("when half of the VMs are killed", 14, 97.0, 0.6, 4.1, killSome),
-		Entry("when a third of the VMs is cut off, each by itself", 14, 97.0, 0.6, 4.1, cutOff(0.35)),
-		Entry("when a sixth of the VMs is cut off", 18, 50.0, 0.6, 8.0, cutOff(0.17)),
+		Entry("when a third of the VMs is cut off, each by itself", 14, 97.0, 0.6, 4.1, cutOff(0.35, 9*time.Second)),
+		Entry("when a sixth of the VMs is cut off", 18, 50.0, 0.6, 8.0, cutOff(0.17, 9*time.Second)),
+		Entry("when VMs are cut off while a rise is not known yet", 18, 83.0, 0.6, 6.0, cutOff(0.3, 10200*time.Millisecond)),
+		Entry("when VMs are cut off a second after a rise", 18, 83.0, 0.6, 6.0, cutOff(0.3, 11*time.Second)),
 		Entry("when the fleet is cut in two", 14, 97.0, 0.6, 4.1, split),
 		Entry("of a hot workspace in a large fleet", 141, 40.0, 0.6, 8.0, nil),
 		Entry("when all VMs of a large fleet are killed", 141, 40.0, 0.6, 8.0, killAll),
-		Entry("when a third of a large fleet is cut off", 141, 40.0, 0.6, 8.0, cutOff(0.35)),
+		Entry("when a third of a large fleet is cut off", 141, 40.0, 0.6, 8.0, cutOff(0.35, 9*time.Second)),
 	)
 })
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -32,6 +32,8 @@
 	// reportEvery is the time between reports: a limit is overrun by at most
 	// what comes in about two of them.
 	reportEvery = 250 * time.Millisecond
+	// earliestReport is the least time between two reports.
+	earliestReport = 90 * time.Millisecond
 	// silentAfter is how long a VM is not heard before it counts as silent:
 	// two reports and a part of one for their way.
 	silentAfter = 2*reportEvery + reportEvery/2
@@ -128,7 +130,7 @@
 	r.forget(now)
 	r.elect(now)
 	r.watch(now)
-	if now.Sub(r.reported) < reportEvery {
+	if d := now.Sub(r.reported); d < earliestReport || d < reportEvery && !r.surging() {
 		return nil
 	}
 	r.reported = now
@@ -149,6 +151,11 @@
 	return ss
 }
 
+// surging tells whether the coordinators should hear of a rise at once.
+func (r *Roster) surging() bool {
+	return r.Limits != nil && r.Limits.surging()
+}
+
 func (r *Roster) report(now time.Time) *peerpb.FleetReport {
 	q := &peerpb.FleetReport{Number: r.number, Known: r.hash(now), Leaving: r.leaving, Capacity: uint32(r.Capacity),
 		UptimeMillis: uint64(now.Sub(r.began).Milliseconds())}
