Test a whole process on a fake store, probes, moves and the dialect

Change: a store and servers in the project, over which one and two processes start, follow changes, lose the store, lose its history, learn from a peer and explain three failed requests by their log; the choice's probes and moves in virtual time; the forwarder in the deployment's dialect.

--- /dev/null
+++ b/internal/choice/ask_test.go
@@ -0,0 +1,254 @@
+package choice_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/load"
+)
+
+// open grants every probe.
+type open struct{}
+
+func (open) Take(time.Time, netip.AddrPort) bool { return true }
+
+func serverAt(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:80", i/200, i%200+1))
+}
+
+// asked returns a set of n servers that state their cold starts and may be
+// probed.
+func asked(now time.Time, n int, change func(i int, s *choice.Server)) *choice.Set {
+	s := &choice.Set{
+		Service: "s", Policy: choice.NewInformed(), Rand: rand.New(rand.NewPCG(1, 2)), Probes: open{},
+		Home: "a", FarCost: 3 * time.Millisecond, Self: netip.MustParseAddrPort("10.9.9.9:7"),
+	}
+	var ss []choice.Server
+	for i := range n {
+		v := choice.Server{Address: serverAt(i), Name: fmt.Sprintf("i-%d", i), DataCentre: "a"}
+		if change != nil {
+			change(i, &v)
+		}
+		ss = append(ss, v)
+	}
+	s.Update(now, choice.Limits{Slots: 6, ColdFor: 3 * time.Second, VMs: 14, Stated: true, Probed: true, Usual: 160 * time.Millisecond}, ss)
+	return s
+}
+
+// tell gives the set a probe's report of each server.
+func tell(s *choice.Set, now time.Time, n int, pace func(i int) float64) {
+	for i := range n {
+		s.Probed(now, serverAt(i), &load.Report{Slots: 6, Pace: pace(i)})
+	}
+}
+
+// train lets the set learn that answers of kind k take d and have a size.
+func train(s *choice.Set, now time.Time, d time.Duration, size int64) time.Time {
+	for range 64 {
+		c, ok := s.Choose(now, "k", nil)
+		Expect(ok).To(BeTrue())
+		now = now.Add(d)
+		c.End(now, choice.Answered{Status: 200, FirstByte: d, Bytes: size, Load: &load.Report{Slots: 6, Pace: 1}})
+	}
+	return now
+}
+
+var _ = Describe("probes before a choice", func() {
+	now := time.Unix(1000, 0)
+
+	It("asks the best servers once, and none of which something is known", func() {
+		s := asked(now, 8, nil)
+		first := s.Candidates(now, "k", nil, 3, 40*time.Millisecond)
+		Expect(first).To(HaveLen(3))
+		tell(s, now, 8, func(int) float64 { return 1 })
+		Expect(s.Candidates(now.Add(10*time.Millisecond), "k", nil, 3, 40*time.Millisecond)).To(BeEmpty())
+		Expect(s.Candidates(now.Add(time.Second), "k", nil, 3, 40*time.Millisecond)).To(HaveLen(3))
+	})
+
+	It("chooses by the pace that was told", func() {
+		s := asked(now, 4, nil)
+		tell(s, now, 4, func(i int) float64 {
+			if i == 2 {
+				return 1
+			}
+			return 7
+		})
+		c, ok := s.Choose(now.Add(time.Millisecond), "k", nil)
+		Expect(ok).To(BeTrue())
+		Expect(c.Server()).To(Equal(serverAt(2)))
+		Expect(c.Name()).To(Equal("i-2"))
+		Expect(c.Basis().Pace).To(Equal(1.0))
+		Expect(c.Basis().Age).To(Equal(time.Millisecond))
+	})
+
+	It("avoids a server that left a probe without an answer", func() {
+		s := asked(now, 2, nil)
+		s.Probed(now, serverAt(0), nil)
+		for range 20 {
+			c, _ := s.Choose(now, "k", nil)
+			Expect(c.Server()).To(Equal(serverAt(1)))
+			c.End(now, choice.Cancelled{})
+		}
+	})
+
+	It("asks a part of a large service, another on each VM", func() {
+		s := asked(now, 150, nil)
+		o := asked(now, 150, nil)
+		o.Self = netip.MustParseAddrPort("10.9.9.10:7")
+		seen, both := map[netip.AddrPort]bool{}, 0
+		for i := range 200 {
+			for _, a := range s.Candidates(now.Add(time.Duration(i)*time.Second), "k", nil, 3, time.Millisecond) {
+				seen[a] = true
+			}
+		}
+		Expect(len(seen)).To(BeNumerically("<=", 24))
+		for i := range 200 {
+			for _, a := range o.Candidates(now.Add(time.Duration(i)*time.Second), "k", nil, 3, time.Millisecond) {
+				if seen[a] {
+					both++
+				}
+			}
+		}
+		Expect(both).To(BeNumerically("<", 300))
+	})
+
+	It("keeps large answers in the data centre, and small ones not", func() {
+		far := func(i int, v *choice.Server) {
+			if i > 0 {
+				v.DataCentre = "b"
+			}
+		}
+		for size, want := range map[int64]int{90_000: 0, 100: 1} {
+			s := asked(now, 2, far)
+			t := train(s, now, 100*time.Millisecond, size)
+			s.Probed(t, serverAt(0), &load.Report{Slots: 6, Pace: 2})
+			s.Probed(t, serverAt(1), &load.Report{Slots: 6, Pace: 1})
+			c, _ := s.Choose(t, "k", nil)
+			Expect(c.Server()).To(Equal(serverAt(want)), "%d bytes", size)
+		}
+	})
+})
+
+var _ = Describe("a call in flight", func() {
+	now := time.Unix(1000, 0)
+
+	// sent returns a set that knows its latencies, and a call to server 0.
+	sent := func() (*choice.Set, choice.Call, time.Time) {
+		s := asked(now, 4, nil)
+		t := train(s, now, 160*time.Millisecond, 100)
+		tell(s, t, 4, func(i int) float64 { return 1 + float64(i)*3 })
+		c, _ := s.Choose(t, "k", nil)
+		Expect(c.Server()).To(Equal(serverAt(0)))
+		return s, c, t
+	}
+
+	It("is behind when its server turned slow and another is well", func() {
+		s, c, t := sent()
+		t = t.Add(60 * time.Millisecond)
+		tried := []netip.AddrPort{c.Server()}
+		Expect(s.Behind(t, t.Add(340*time.Millisecond), c, tried)).To(BeFalse())
+		s.Probed(t, serverAt(0), &load.Report{Slots: 6, Running: 1, Pace: 7})
+		s.Probed(t, serverAt(1), &load.Report{Slots: 6, Pace: 1})
+		Expect(s.Behind(t, t.Add(340*time.Millisecond), c, tried)).To(BeTrue())
+	})
+
+	It("is not behind when all servers are slow, or when its answer is still in time", func() {
+		s, c, t := sent()
+		t = t.Add(60 * time.Millisecond)
+		tried := []netip.AddrPort{c.Server()}
+		tell(s, t, 4, func(int) float64 { return 7 })
+		Expect(s.Behind(t, t.Add(340*time.Millisecond), c, tried)).To(BeFalse())
+		s.Probed(t, serverAt(1), &load.Report{Slots: 6, Pace: 1})
+		Expect(s.Behind(t, t.Add(2*time.Second), c, tried)).To(BeFalse())
+	})
+
+	It("is behind when its server leaves probes without an answer", func() {
+		s, c, t := sent()
+		t = t.Add(80 * time.Millisecond)
+		s.Probed(t, serverAt(0), nil)
+		s.Probed(t, serverAt(1), &load.Report{Slots: 6, Pace: 1})
+		Expect(s.Behind(t, t.Add(320*time.Millisecond), c, []netip.AddrPort{c.Server()})).To(BeTrue())
+	})
+})
+
+var _ = Describe("servers that state their cold starts", func() {
+	now := time.Unix(1000, 0)
+
+	It("get nothing while others are free, and work when the time is over", func() {
+		s := asked(now, 3, func(i int, v *choice.Server) {
+			if i == 0 {
+				v.ColdFor = 2 * time.Second
+			}
+		})
+		s.Cold = open{}
+		t := train(s, now, 20*time.Millisecond, 100)
+		Expect(t.Sub(now)).To(BeNumerically("<", 2*time.Second))
+		found := false
+		for i := range 60 {
+			c, _ := s.Choose(t, "k", nil)
+			Expect(c.Server()).NotTo(Equal(serverAt(0)), "call %d", i)
+			c.End(t, choice.Answered{Status: 200, FirstByte: 20 * time.Millisecond, Load: &load.Report{Slots: 6, Pace: 1}})
+		}
+		t = now.Add(2100 * time.Millisecond)
+		for range 200 {
+			c, _ := s.Choose(t, "k", nil)
+			found = found || c.Server() == serverAt(0)
+			t = t.Add(20 * time.Millisecond)
+			c.End(t, choice.Answered{Status: 200, FirstByte: 20 * time.Millisecond, Load: &load.Report{Slots: 6, Pace: 1}})
+		}
+		Expect(found).To(BeTrue())
+	})
+
+	It("are other servers when another name has the address", func() {
+		s := asked(now, 2, nil)
+		t := train(s, now, 20*time.Millisecond, 100)
+		s.Update(t, choice.Limits{Slots: 6, ColdFor: 3 * time.Second, Stated: true, Probed: true}, []choice.Server{
+			{Address: serverAt(0), Name: "new", DataCentre: "a", ColdFor: 3 * time.Second},
+		})
+		c, ok := s.Choose(t, "k", nil)
+		Expect(ok).To(BeFalse(), "cold, and without an allowance: %v", c)
+	})
+})
+
+var _ = Describe("Sponsored", func() {
+	It("lets a few VMs send to a cold server, and no more than it bears in all", func() {
+		var vms []netip.AddrPort
+		for i := range 14 {
+			vms = append(vms, netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7", i+1)))
+		}
+		granted, users := 0, 0
+		now := time.Unix(1000, 0)
+		for _, v := range vms {
+			a := &choice.Sponsored{
+				Self:   v,
+				VMs:    func() []netip.AddrPort { return vms },
+				Joined: func() bool { return true },
+				Rate:   func(netip.AddrPort) float64 { return 11 },
+			}
+			n := 0
+			for i := range 1000 {
+				if a.Take(now.Add(time.Duration(i)*time.Millisecond), serverAt(1)) {
+					n++
+				}
+			}
+			granted += n
+			if n > 0 {
+				users++
+			}
+		}
+		Expect(users).To(Equal(2))
+		Expect(granted).To(BeNumerically("<=", 13))
+		Expect(granted).To(BeNumerically(">=", 10))
+	})
+
+	It("lets a VM that heard nobody send nothing", func() {
+		a := &choice.Sponsored{Joined: func() bool { return false }}
+		Expect(a.Take(time.Now(), serverAt(1))).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/lentilbend/internal/serve/open_test.go
@@ -0,0 +1,244 @@
+package serve
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/lentilbend/internal/settings"
+)
+
+const openConfig = `{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":65536,"idle_timeout":"15s"},
+"tenants":[{"name":"north","api_keys":[%s],"rate_per_s":%d,"burst":%d}],
+"listeners":[{"host":"a.example","rule_set":[
+ {"name":"look","kind":"safe","target_latency":"400ms","match":{"prefix":"/look/"},"action":{"service":"cat","timeout":"1s","attempts":2}},
+ {"name":"buy","kind":"unsafe","target_latency":"400ms","match":{"prefix":"/buy/"},"action":{"service":"cat","timeout":"1s","attempts":2}}]}],
+"clusters":[{"name":"cat","health_check_path":"/health","connection_limit":200,"cold_start":"1s","cold_per_s":10}]}`
+
+// lockedBuffer is an output that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// lines returns the lines that hold all words.
+func (l *lockedBuffer) lines(words ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for s := range strings.Lines(l.b.String()) {
+		all := true
+		for _, w := range words {
+			all = all && strings.Contains(s, w)
+		}
+		if all {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// free returns a loopback address that nobody listens on.
+func free(host string) netip.AddrPort {
+	l, err := net.Listen("tcp", host+":0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// vm is a running process.
+type vm struct {
+	process *Process
+	ended   chan error
+	log     *lockedBuffer
+	caller  string
+	ready   string
+	peer    netip.AddrPort
+}
+
+// startVM starts a process that reads store and finds others by seeds.
+func startVM(host string, store netip.AddrPort, seeds ...netip.AddrPort) *vm {
+	v := &vm{ended: make(chan error, 1), log: &lockedBuffer{}, peer: free(host)}
+	c, o := free(host), free(host)
+	v.caller, v.ready = "http://"+c.String(), "http://"+o.String()+"/readiness"
+	v.process = &Process{
+		Output: v.log,
+		Settings: &settings.Settings{
+			DataCentre: "z1",
+			Caller:     settings.Caller{Address: c, HeaderTimeout: time.Second, IdleTimeout: time.Minute},
+			Operator:   settings.Operator{Address: o, ReadyPath: "/readiness"},
+			Peer:       settings.Peer{Address: v.peer, Seeds: append(seeds, v.peer)},
+			Platform:   settings.Platform{Addresses: []netip.AddrPort{store}, Form: settings.FormStore, Timeout: 300 * time.Millisecond},
+			Log:        settings.Log{Level: "info", Format: "logfmt"},
+			Stop:       settings.Stop{Wait: 100 * time.Millisecond, Timeout: 3 * time.Second},
+			Limits:     settings.Sizes{Header: 16384, Body: 65536, Memory: 128 << 20, Garbage: 100},
+			Fleet:      settings.Fleet{RateOverage: 0.25, RateTolerance: 20, RetryPart: 0.2, RetryMost: 50},
+		},
+		Signals: make(chan os.Signal, 2),
+	}
+	go func() { v.ended <- v.process.Run() }()
+	DeferCleanup(func() {
+		v.process.Signals <- syscall.SIGTERM
+		Eventually(v.ended, "10s").Should(Receive())
+	})
+	return v
+}
+
+func (v *vm) isReady() bool {
+	a, err := http.Get(v.ready)
+	if err != nil {
+		return false
+	}
+	_ = a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// ask sends a request and returns the status, the body and the header.
+func (v *vm) ask(method, path, key, id string) (int, string, http.Header) {
+	GinkgoHelper()
+	r, err := http.NewRequest(method, v.caller+path, http.NoBody)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "a.example"
+	r.Header.Set("X-Api-Key", key)
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "1500")
+	a, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return a.StatusCode, string(b), a.Header
+}
+
+func config(version int, keys string, rate int) string {
+	return fmt.Sprintf(openConfig, version, keys, rate, rate)
+}
+
+var _ = Describe("a process on a store without a list", Serial, func() {
+	It("is ready once it has a configuration, follows changes, and serves while the store is away", func() {
+		store, server := newFakeStore(), newFakeServer("i-1")
+		v := startVM("127.0.0.1", store.address())
+		Consistently(v.isReady, "300ms").Should(BeFalse())
+		code, _, _ := v.ask("GET", "/look/1", "k1", "early")
+		Expect(code).To(Equal(503))
+		store.put("servers/i-1", server.entry("cat", "ready"))
+		store.put("op/config", config(1, `"k1"`, 0))
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		code, body, h := v.ask("GET", "/look/1", "k1", "id-1")
+		Expect(code).To(Equal(200))
+		Expect(body).To(Equal("body of i-1"))
+		Expect(h.Get("Server-Signature")).To(Equal("signed-by-i-1"))
+		Expect(server.ran()).To(Equal([]string{"id-1 north"}))
+
+		store.put("op/config", config(2, `"k2"`, 0))
+		Eventually(func() int {
+			code, _, _ := v.ask("GET", "/look/1", "k1", "id-2")
+			return code
+		}, "2s").Should(Equal(401))
+
+		for _, fault := range []string{"busy", "silent"} {
+			store.fail(fault)
+			time.Sleep(500 * time.Millisecond)
+			code, _, _ = v.ask("GET", "/look/1", "k2", "id-"+fault)
+			Expect(code).To(Equal(200), fault)
+		}
+		Eventually(func() []string { return v.log.lines("Platform lost.") }, "3s").ShouldNot(BeEmpty())
+		store.fail("")
+		store.put("servers/i-1", server.entry("cat", "draining"))
+		Eventually(func() int {
+			code, _, _ := v.ask("GET", "/look/1", "k2", "id-3")
+			return code
+		}, "4s").Should(Equal(503))
+		Expect(v.log.lines("Platform is back.")).NotTo(BeEmpty())
+	})
+
+	It("reads all anew when history is gone, and then knows what was removed meanwhile", func() {
+		store, server := newFakeStore(), newFakeServer("i-1")
+		store.put("op/config", config(1, `"k1"`, 0))
+		store.put("servers/i-1", server.entry("cat", "ready"))
+		v := startVM("127.0.0.1", store.address())
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		store.fail("forgotten")
+		store.remove("servers/i-1")
+		Eventually(func() int {
+			code, _, _ := v.ask("GET", "/look/1", "k1", "id-1")
+			return code
+		}, "4s").Should(Equal(503))
+	})
+
+	It("learns changes from a peer while the store turns it away", func() {
+		store, server := newFakeStore(), newFakeServer("i-1")
+		store.put("op/config", config(1, `"k1"`, 0))
+		store.put("servers/i-1", server.entry("cat", "ready"))
+		a := startVM("127.0.0.1", store.address())
+		Eventually(a.isReady, "3s").Should(BeTrue())
+		nowhere := free("127.0.0.1")
+		b := startVM("127.0.0.2", nowhere, a.peer)
+		Eventually(b.isReady, "5s").Should(BeTrue())
+		store.put("op/config", config(2, `"k2"`, 0))
+		Eventually(func() int {
+			code, _, _ := b.ask("GET", "/look/1", "k2", "id-1")
+			return code
+		}, "2s").Should(Equal(200))
+	})
+
+	It("explains three failed requests by its log alone", func() {
+		store, server := newFakeStore(), newFakeServer("i-1")
+		store.put("op/config", config(1, `"k1"`, 2))
+		store.put("servers/i-1", server.entry("cat", "ready"))
+		v := startVM("127.0.0.1", store.address())
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		for i := range 20 {
+			if code, _, _ := v.ask("GET", "/look/1", "k1", fmt.Sprintf("over-%d", i)); code == 429 {
+				break
+			}
+		}
+		Eventually(func() []string { return v.log.lines("Refused over the rate.", "id=over-", "workspace=north") }, "1s").ShouldNot(BeEmpty())
+
+		store.put("op/config", config(2, `"k1"`, 0))
+		Eventually(func() []string { return v.log.lines("Table accepted.", "revision=3") }, "2s").ShouldNot(BeEmpty())
+		server.set("lost")
+		code, _, _ := v.ask("POST", "/buy/1", "k1", "lost-1")
+		Expect(code).To(Equal(502))
+		Eventually(func() []string { return v.log.lines("Attempt ended.", "id=lost-1", "outcome=failed", "name=i-1") }, "1s").ShouldNot(BeEmpty())
+		Eventually(func() []string {
+			return v.log.lines("Request was refused.", "id=lost-1", "cause=broken", "run=unknown")
+		}, "1s").ShouldNot(BeEmpty())
+
+		server.set("slow")
+		Eventually(func() int {
+			code, _, _ = v.ask("POST", "/buy/1", "k1", "late-1")
+			return code
+		}, "5s").Should(Equal(504))
+		Eventually(func() []string { return v.log.lines("Attempt ended.", "id=late-1", "outcome=timed-out") }, "1s").ShouldNot(BeEmpty())
+		Eventually(func() []string { return v.log.lines("Request was refused.", "id=late-1", "cause=deadline") }, "1s").ShouldNot(BeEmpty())
+		Expect(v.log.lines("k1\"")).To(BeEmpty())
+	})
+
+	It("goes on after SIGHUP", func() {
+		store := newFakeStore()
+		store.put("op/config", config(1, `"k1"`, 0))
+		v := startVM("127.0.0.1", store.address())
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		v.process.Signals <- syscall.SIGHUP
+		Consistently(v.ended, "300ms").ShouldNot(Receive())
+		Expect(v.isReady()).To(BeTrue())
+	})
+})
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -51,6 +52,8 @@
 	// SettingsFile is read again when it changed or on SIGHUP; empty for
 	// settings that do not change.
 	SettingsFile string
+	// Output takes the log; standard output when nil.
+	Output io.Writer
 	// Signals brings the signals that stop the process; those of the system
 	// when nil.
 	Signals chan os.Signal
@@ -161,7 +164,7 @@
 func (p *Process) build() error {
 	s := p.Settings
 	var err error
-	if p.root, err = logging.New(os.Stdout, s.Log.Format, s.Log.Level); err != nil {
+	if p.root, err = logging.New(p.output(), s.Log.Format, s.Log.Level); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	p.logger = p.root.Part("serve")
@@ -202,6 +205,13 @@
 	return nil
 }
 
+func (p *Process) output() io.Writer {
+	if p.Output != nil {
+		return p.Output
+	}
+	return os.Stdout
+}
+
 func (p *Process) ready() error {
 	if p.stopping.Load() {
 		return errors.New("a planned stop has begun")
