Refuse requests whose framing can be read in two ways

Cause: a length beside chunks was answered 200: the library drops the length. Change: the head is looked at as it is read; two lengths, a length beside chunks, signs and lists in lengths and bare line feeds get 400 and a closed connection.

--- a/lentilbend/internal/caller/conn.go
+++ b/lentilbend/internal/caller/conn.go
@@ -47,6 +47,8 @@
 	touched atomic.Bool
 	lingers atomic.Bool
 	once    sync.Once
+	// framing is used by the reader and, between two requests, by enter.
+	framing framing
 	// mu guards the two fields below.
 	mu       sync.Mutex
 	deadline time.Time
@@ -66,6 +68,9 @@
 		return n, err
 	}
 	c.touched.Store(true)
+	if c.phase.Load() != isActive && !c.owner.secure && !c.http2.Load() {
+		c.framing.read(b[:n])
+	}
 	if !c.begun.Swap(true) && bytes.HasPrefix(b[:n], preface[:min(n, len(preface))]) {
 		c.http2.Store(true)
 	}
@@ -189,5 +194,8 @@
 // enter notes the phase that the server is in with the connection.
 func (c *conn) enter(phase int32) {
 	c.touched.Store(false)
+	if phase == isIdle {
+		c.framing.begin()
+	}
 	c.phase.Store(phase)
 }
--- a/lentilbend/internal/caller/handler.go
+++ b/lentilbend/internal/caller/handler.go
@@ -105,6 +105,13 @@
 
 // check returns why a request is refused before any filter, or nil.
 func (h *Handler) check(x *exchange.Exchange) *exchange.Refusal {
+	if misframed(x.Request) {
+		x.Writer.Header()["Connection"] = closeConnection
+		return &exchange.Refusal{
+			Status: http.StatusBadRequest, Run: exchange.NotRun, Cause: exchange.CauseMalformed,
+			Reason: "The framing of the request is ambiguous.",
+		}
+	}
 	if x.Table == nil {
 		return &exchange.Refusal{
 			Status: http.StatusServiceUnavailable, Run: exchange.NotRun, Cause: exchange.CauseNoTable,
--- a/lentilbend/internal/caller/listener.go
+++ b/lentilbend/internal/caller/listener.go
@@ -19,6 +19,8 @@
 type listener struct {
 	net.Listener
 
+	// secure says that what is read is encrypted.
+	secure  bool
 	leaving atomic.Bool
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
--- a/lentilbend/internal/caller/server.go
+++ b/lentilbend/internal/caller/server.go
@@ -50,6 +50,7 @@
 		return fmt.Errorf("caller: %w", err)
 	}
 	s.listener = newListener(l)
+	s.listener.secure = s.Settings.Certificate != ""
 	return nil
 }
 
@@ -72,6 +73,7 @@
 	// closes the connection beyond twice the limit.
 	s.server.MaxHeaderBytes = 2 * s.Sizes.Header
 	s.server.ConnState = s.noteState
+	s.server.ConnContext = withConn
 	s.server.ErrorLog = log.New(io.Discard, "", 0)
 }
 
