Let twice the share pass for a second after a start, and read sooner

Change: an unknown fleet counts as 8 VMs, a started one takes two equal shares for a second; a process reads the store itself after 100 ms; pulls do not wait while there is no table; a caller may come back after 250 ms. Ruled out: trusting young coordinators (breaks the rate of a hot workspace).

--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -32,7 +32,12 @@
 	// fleet: two reports.
 	youngFor = 2 * reportEvery
 	// unknownVMs stands for the size of a fleet of which nothing is heard yet.
-	unknownVMs = 32
+	unknownVMs = 8
+	// startFor is how long a process takes startShare equal shares: callers
+	// come unevenly while others start too, and nothing passed while all were
+	// down.
+	startFor   = time.Second
+	startShare = 2
 	// whole is the part that lets everything pass, in thousandths.
 	whole = 1000
 )
@@ -162,6 +167,9 @@
 		// Credit by chance keeps many VMs from letting one request each pass
 		// at once.
 		u = &use{tokens: l.chance(), filled: now, credit: l.chance()}
+		if now.Sub(l.began) < startFor {
+			u.tokens = 1
+		}
 		l.own[workspace] = u
 	}
 	u.wanted++
@@ -185,8 +193,11 @@
 
 func (l *Limits) decide(now time.Time, workspace uint64, m Limit, u *use) Verdict {
 	n, settled := l.Count()
-	if !settled {
+	switch {
+	case !settled:
 		n = max(n, unknownVMs)
+	case now.Sub(l.began) < startFor:
+		n = (n + startShare - 1) / startShare
 	}
 	u.fill(now, m, n)
 	p := l.best(now)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -90,6 +90,8 @@
 type vm struct {
 	id       member.ID
 	capacity int
+	// rank orders VMs of one capacity.
+	rank uint64
 	// heard is when the VM was last heard, directly or by a coordinator's word.
 	heard time.Time
 	// last is when the VM last counted as live.
@@ -234,7 +236,7 @@
 		if v == nil {
 			r.met = now
 		}
-		v = &vm{id: id, last: now}
+		v = &vm{id: id, rank: rank(id.Address), last: now}
 		r.vms[id.Address] = v
 	}
 	v.heard, v.capacity, v.silent = now, capacity, false
@@ -336,7 +338,7 @@
 	}
 	if m.GetSilent() || m.GetEnded() {
 		if v == nil {
-			v = &vm{id: id, heard: now.Add(-silentAfter), last: now, capacity: int(m.GetCapacity())}
+			v = &vm{id: id, rank: rank(id.Address), heard: now.Add(-silentAfter), last: now, capacity: int(m.GetCapacity())}
 			r.vms[a] = v
 		}
 		v.silent = v.silent || v.id == id
@@ -425,19 +427,20 @@
 	type candidate struct {
 		address  netip.AddrPort
 		capacity int
+		rank     uint64
 	}
 	var cs []candidate
 	if !r.leaving {
-		cs = append(cs, candidate{r.Self.Address, r.Capacity})
+		cs = append(cs, candidate{r.Self.Address, r.Capacity, rank(r.Self.Address)})
 	}
 	for a, v := range r.vms {
 		failed := !v.failed.IsZero() && now.Sub(v.failed) < retryAfter
 		if v.ended.IsZero() && !failed && (r.live(now, v) || !v.asked.IsZero()) {
-			cs = append(cs, candidate{a, v.capacity})
+			cs = append(cs, candidate{a, v.capacity, v.rank})
 		}
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(rank(b.address), rank(a.address)), a.address.Compare(b.address))
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.rank, a.rank), a.address.Compare(b.address))
 	})
 	r.coordinators = nil
 	for _, c := range cs[:min(coordinators, len(cs))] {
--- a/lentilbend/internal/caller/handler.go
+++ b/lentilbend/internal/caller/handler.go
@@ -99,6 +99,10 @@
 	return h.HeaderLimit
 }
 
+// noTableRetry is when a caller may come back to a process that just began: it
+// has a table within some hundred milliseconds, or others do.
+const noTableRetry = 250 * time.Millisecond
+
 // closeConnection ends an HTTP/1.1 connection after its answer, and makes the
 // library announce the end of an HTTP/2 connection (GOAWAY).
 var closeConnection = []string{"close"}
@@ -116,7 +120,7 @@
 		return &exchange.Refusal{
 			Status: http.StatusServiceUnavailable, Run: exchange.NotRun, Cause: exchange.CauseNoTable,
 			Reason:     "No table is known yet.",
-			RetryAfter: time.Second,
+			RetryAfter: noTableRetry,
 		}
 	}
 	if headerSize(x.Request) > h.headerLimit(x.Table) {
--- a/lentilbend/internal/platform/watcher.go
+++ b/lentilbend/internal/platform/watcher.go
@@ -28,10 +28,9 @@
 	coveredFor = 1250 * time.Millisecond
 	// coveredCheck is the time between looks at that proof.
 	coveredCheck = 100 * time.Millisecond
-	// helloFor is how long a process that just began waits to hear of others,
-	// and relayFor how long for their values, before it reads itself.
-	helloFor = 150 * time.Millisecond
-	relayFor = 600 * time.Millisecond
+	// relayFor is how long a process that just began waits for the values of
+	// others before it reads itself. Callers may be waiting for it.
+	relayFor = 100 * time.Millisecond
 	// missingFor is how long a value that was deleted while the platform
 	// could not be read counts on, since its writer may write it again.
 	missingFor = 2 * time.Second
@@ -119,11 +118,7 @@
 func (w *Watcher) covered() bool {
 	if w.Store.Table() == nil {
 		// Peers may bring the values, which costs the platform nothing.
-		wait := helloFor
-		if !w.Reads() {
-			wait = relayFor
-		}
-		return time.Since(w.Began) < wait
+		return !w.Reads() && time.Since(w.Began) < relayFor
 	}
 	if w.Reads() {
 		return false
--- a/lentilbend/internal/relay/pull.go
+++ b/lentilbend/internal/relay/pull.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -32,7 +33,7 @@
 	if r.conflict() && r.Resync != nil {
 		r.Resync(ctx)
 	}
-	for len(r.ahead()) > 0 && timer.Sleep(ctx, rand.N(spread)) {
+	for len(r.ahead()) > 0 && timer.Sleep(ctx, r.wait()) {
 		ps := r.ahead()
 		if len(ps) == 0 {
 			return
@@ -45,6 +46,15 @@
 	}
 }
 
+// wait returns how long to wait before a pull: not at all while callers are
+// turned away for want of a table.
+func (r *Relay) wait() time.Duration {
+	if r.Store.Table() == nil {
+		return 0
+	}
+	return rand.N(spread)
+}
+
 // ahead returns the peers that have a newer table or list.
 func (r *Relay) ahead() []netip.AddrPort {
 	v, l := r.Store.Accepted(), r.List.Revision()
