Tell on that the store is read, and let one VM take the reading over

Change: a coordinator tells on the reads of others; VMs without a reader begin at random times, so that the first covers the rest; settings without an effect and a constant of a part that is not built are gone. Not built: entries that lapse while the store is away count as gone at its return, though they may come back within two seconds.

--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -48,19 +48,12 @@
 	Rate, Burst float64
 }
 
-// Overage is how much more than the limits the fleet may let pass, which pays
-// for not knowing which VMs are alive.
-type Overage struct {
-	// Part is the part of a limit that may pass beyond it.
-	Part float64
-	// Requests may pass beyond that in a window, for each workspace.
-	Requests float64
-}
-
 // Limits shares out the workspaces' limits. Set the exported fields before
 // use. Its methods may be called at once.
 type Limits struct {
-	Overage Overage
+	// Overage is the part of a limit that may pass beyond it, which pays for
+	// not knowing which VMs are alive.
+	Overage float64
 	// Count returns how many VMs there are, this one included, and whether
 	// that has settled since the process began.
 	Count func() (int, bool)
@@ -317,11 +310,11 @@
 // spent is the part of the limits that passes beyond them while all VMs are
 // heard.
 func (l *Limits) spent() float64 {
-	return l.Overage.Part * spentPart
+	return l.Overage * spentPart
 }
 
 // SetOverage replaces the overage.
-func (l *Limits) SetOverage(o Overage) {
+func (l *Limits) SetOverage(o float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Overage = o
@@ -408,7 +401,7 @@
 	if kept >= minority {
 		return 1 - kept
 	}
-	return min(1+l.spent(), 1+l.Overage.Part-overageKept-kept)
+	return min(1+l.spent(), 1+l.Overage-overageKept-kept)
 }
 
 // answered takes a coordinator's answer.
--- a/internal/roster/world_test.go
+++ b/internal/roster/world_test.go
@@ -20,7 +20,6 @@
 	queue  events
 	serial int
 	limit  roster.Limit
-	over   roster.Overage
 	nodes  []*node
 	seeds  []netip.AddrPort
 	// cut tells whether two nodes cannot reach each other.
@@ -31,7 +30,6 @@
 	// grants are the times of the granted requests.
 	grants  []time.Time
 	refused int
-	lost    float64
 }
 
 type node struct {
@@ -45,12 +43,18 @@
 
 const workspace = 7
 
+// What the users' rule lets pass beyond a limit in a window: a part of it, and
+// some requests.
+const (
+	overage   = 0.25
+	tolerance = 20
+)
+
 func newWorld(seed uint64, vms int, l roster.Limit) *world {
 	w := &world{
 		rand:  rand.New(rand.NewPCG(seed, 1)),
 		now:   time.Unix(1_000_000, 0),
 		limit: l,
-		over:  roster.Overage{Part: 0.25, Requests: 20},
 		cut:   func(int, int) bool { return false },
 	}
 	w.began = w.now
@@ -69,7 +73,7 @@
 func (w *world) start(n *node) {
 	n.births++
 	n.up = true
-	l := &roster.Limits{Overage: w.over}
+	l := &roster.Limits{Overage: overage}
 	r := &roster.Roster{
 		Self:   member.ID{Address: n.address, Incarnation: uint64(w.now.UnixNano())},
 		Seeds:  w.seeds,
@@ -174,7 +178,7 @@
 
 // bound is what the page of the users allows in a window.
 func (w *world) bound(window time.Duration) float64 {
-	return (w.limit.Rate*window.Seconds()+w.limit.Burst)*(1+w.over.Part) + w.over.Requests
+	return (w.limit.Rate*window.Seconds()+w.limit.Burst)*(1+overage) + tolerance
 }
 
 type event struct {
--- a/lentilbend/internal/platform/watcher.go
+++ b/lentilbend/internal/platform/watcher.go
@@ -31,9 +31,6 @@
 	// relayFor is how long a process that just began waits for the values of
 	// others before it reads itself. Callers may be waiting for it.
 	relayFor = 100 * time.Millisecond
-	// missingFor is how long a value that was deleted while the platform
-	// could not be read counts on, since its writer may write it again.
-	missingFor = 2 * time.Second
 )
 
 // Bounds of the time between reads that fail. The reads of VMs that are no
@@ -92,12 +89,21 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	rnd := newRand()
 	w.backoff = Backoff{Least: failedLeast, Most: failedMost}
+	covered := true
 	for ctx.Err() == nil {
 		if w.covered() {
+			covered = true
 			w.reading.Store(false)
 			timer.Sleep(ctx, coveredCheck/2)
 			continue
 		}
+		if covered && !w.Reads() && w.Store.Table() != nil {
+			// One of many is soon enough the first, and covers the others.
+			covered = false
+			timer.Sleep(ctx, w.spread(rnd))
+			continue
+		}
+		covered = false
 		ok, changed := w.step(ctx)
 		if ok {
 			w.backoff.Reset()
@@ -133,8 +139,13 @@
 	if w.Reads() || w.Store.Table() == nil {
 		return d
 	}
-	spread := time.Duration(float64(w.VMs()) / takeoverRate * float64(time.Second))
-	return d + time.Duration(rnd.Float64()*float64(spread))
+	return d + w.spread(rnd)
+}
+
+// spread returns a random time within which the VMs that are heard send
+// takeoverRate reads a second.
+func (w *Watcher) spread(rnd *rand.Rand) time.Duration {
+	return time.Duration(rnd.Float64() * float64(w.VMs()) / takeoverRate * float64(time.Second))
 }
 
 // step makes one read and tells whether it succeeded and brought anything.
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -52,6 +52,9 @@
 	// ReadAge returns how long ago this VM last read the platform to its newest
 	// revision; false when it does not read. It may be nil.
 	ReadAge func(now time.Time) (time.Duration, bool)
+	// Forwards tells whether this VM is to tell others of reads that it did
+	// not make: the coordinators do. It may be nil.
+	Forwards func() bool
 	// Resync is called when a peer holds other values of the same revision.
 	Resync func(ctx context.Context)
 
@@ -64,6 +67,8 @@
 	// covered is when a peer last read the platform to a revision in force
 	// here.
 	covered time.Time
+	// forwarded is the time of the newest read that was told on.
+	forwarded time.Time
 }
 
 // Announced is what a peer last announced.
@@ -101,6 +106,9 @@
 			a.Reads, a.Read = true, time.Now().Add(-time.Duration(n-1)*time.Millisecond)
 		}
 		r.note(from, a)
+		if a.Reads {
+			r.forward()
+		}
 		if a.Table.Revision < r.Store.Accepted().Revision || a.List < r.List.Revision() {
 			r.announce(from)
 		}
@@ -159,10 +167,8 @@
 func (r *Relay) announce(to netip.AddrPort) {
 	v := r.Store.Accepted()
 	m := &peerpb.ConfigMessage{Accepted: v.Revision, Digest: v.Digest, List: r.List.Revision()}
-	if r.ReadAge != nil {
-		if d, ok := r.ReadAge(time.Now()); ok {
-			m.ReadAge = uint32(min(d.Milliseconds(), maxReadAge.Milliseconds())) + 1
-		}
+	if d, ok := r.readAge(); ok {
+		m.ReadAge = uint32(min(d.Milliseconds(), maxReadAge.Milliseconds())) + 1
 	}
 	r.Peers.Send(to, &peerpb.Frame{Config: []*peerpb.ConfigMessage{m}})
 }
@@ -187,6 +193,42 @@
 	return time.Since(r.covered), !r.covered.IsZero()
 }
 
+// readAge returns how long ago this VM, or another that it learned from, last
+// read the platform to a revision that is in force here.
+func (r *Relay) readAge() (time.Duration, bool) {
+	if r.ReadAge == nil {
+		return 0, false
+	}
+	d, ok := r.ReadAge(time.Now())
+	c, covered := r.Covered()
+	if covered && (!ok || c < d) {
+		return c, true
+	}
+	return d, ok
+}
+
+// forwardEvery is the least time between two tellings that another VM reads.
+const forwardEvery = 500 * time.Millisecond
+
+// forward tells the neighbours of a coordinator that a VM which only it may hear
+// reads the platform.
+func (r *Relay) forward() {
+	if r.Forwards == nil || !r.Forwards() {
+		return
+	}
+	d, ok := r.Covered()
+	read := time.Now().Add(-d)
+	r.mu.Lock()
+	due := ok && read.Sub(r.forwarded) >= forwardEvery
+	if due {
+		r.forwarded = read
+	}
+	r.mu.Unlock()
+	if due {
+		r.announceAll()
+	}
+}
+
 // Beat tells the peers that this VM has read the platform.
 func (r *Relay) Beat() {
 	r.announceAll()
--- a/lentilbend/internal/serve/config.go
+++ b/lentilbend/internal/serve/config.go
@@ -35,6 +35,7 @@
 	if p.isOpen() {
 		p.buildWatcher()
 		p.relay.ReadAge = p.watcher.ReadAge
+		p.relay.Forwards = func() bool { return p.open.State().Coordinates && !p.reads() }
 		return
 	}
 	p.reader = &platform.Reader{
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -72,7 +72,7 @@
 		Times:      peerTimes,
 	}
 	p.workspaces = &roster.Limits{
-		Overage: roster.Overage{Part: s.Fleet.RateOverage, Requests: s.Fleet.RateTolerance},
+		Overage: s.Fleet.RateOverage,
 		Count: func() (int, bool) {
 			t := p.open.State()
 			return t.Count, t.Settled
@@ -105,19 +105,22 @@
 		Store:     p.store,
 		Logger:    p.root.Part("platform"),
 		Forgotten: func(err error) bool { return errors.Is(err, deployment.ErrForgotten) },
-		Reads: func() bool {
-			t := p.open.State()
-			return slices.Contains(t.Coordinators[:min(readers, len(t.Coordinators))], s.Peer.Address)
-		},
-		OnRead:  func() { p.relay.Beat() },
-		Covered: func() (time.Duration, bool) { return p.relay.Covered() },
-		VMs:     func() int { return len(p.open.State().Live) },
-		Began:   p.started,
+		Reads:     p.reads,
+		OnRead:    func() { p.relay.Beat() },
+		Covered:   func() (time.Duration, bool) { return p.relay.Covered() },
+		VMs:       func() int { return len(p.open.State().Live) },
+		Began:     p.started,
 	}
 	p.watcher.Register(p.registry)
 	p.parts["Platform"] = p.watcher
 }
 
+// reads tells whether this VM is one of those that are to read the store.
+func (p *Process) reads() bool {
+	t := p.open.State()
+	return slices.Contains(t.Coordinators[:min(readers, len(t.Coordinators))], p.Settings.Peer.Address)
+}
+
 // buildOpenLimits connects the choice of servers and the workspaces' limits with
 // the roster.
 func (p *Process) buildOpenLimits() {
--- a/lentilbend/internal/serve/open_test.go
+++ b/lentilbend/internal/serve/open_test.go
@@ -89,7 +89,7 @@
 			Log:        settings.Log{Level: "info", Format: "logfmt"},
 			Stop:       settings.Stop{Wait: 100 * time.Millisecond, Timeout: 3 * time.Second},
 			Limits:     settings.Sizes{Header: 16384, Body: 65536, Memory: 128 << 20, Garbage: 100},
-			Fleet:      settings.Fleet{RateOverage: 0.25, RateTolerance: 20, RetryPart: 0.2, RetryMost: 50},
+			Fleet:      settings.Fleet{RateOverage: 0.25, RetryPart: 0.2, RetryMost: 50},
 		},
 		Signals: make(chan os.Signal, 2),
 	}
--- a/lentilbend/internal/serve/reload.go
+++ b/lentilbend/internal/serve/reload.go
@@ -8,7 +8,6 @@
 	"github.com/go-kit/log/level"
 
 	"lentilbend.example/internal/event"
-	"lentilbend.example/internal/roster"
 
 	"lentilbend.example/lentilbend/internal/settings"
 )
@@ -63,7 +62,7 @@
 	}
 	if p.isOpen() {
 		p.open.SetSeeds(s.Peer.Seeds)
-		p.workspaces.SetOverage(roster.Overage{Part: s.Fleet.RateOverage, Requests: s.Fleet.RateTolerance})
+		p.workspaces.SetOverage(s.Fleet.RateOverage)
 	}
 	_ = level.Info(p.logger).Log("msg", "Settings read again.", "seeds", len(s.Peer.Seeds), "restart", needsRestart(p.Settings, s))
 	if err := p.bus.Publish(event.SettingsRead{}); err != nil {
--- a/lentilbend/internal/settings/check.go
+++ b/lentilbend/internal/settings/check.go
@@ -48,14 +48,9 @@
 func (c *checker) fleet(f Fleet) {
 	c.least("Fleet.Capacity", f.Capacity)
 	c.least("Fleet.RateOverage", f.RateOverage)
-	c.least("Fleet.RateTolerance", f.RateTolerance)
 	c.least("Fleet.RetryPart", f.RetryPart)
 	c.least("Fleet.RetryMost", f.RetryMost)
-	c.least("Fleet.ColdFactor", f.ColdFactor)
-	c.least("Fleet.ColdTolerance", f.ColdTolerance)
-	c.least("Fleet.ProbeRate", f.ProbeRate)
-	c.that(f.RateWindow >= 0, "Fleet.RateWindow", "must not be negative")
-	c.that(f.RetryWindow >= 0, "Fleet.RetryWindow", "must not be negative")
+	c.that(f.FarCost >= 0, "Fleet.FarCost", "must not be negative")
 }
 
 func (c *checker) least(field string, x float64) {
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -32,21 +32,12 @@
 	// Capacity ranks the VMs that coordinate; the larger go first.
 	Capacity float64 `document:"optional"`
 	// RateOverage is the part of a workspace's rate and burst that may pass
-	// beyond it, and RateTolerance the requests beyond that in RateWindow.
-	RateOverage   float64       `document:"optional"`
-	RateTolerance float64       `document:"optional"`
-	RateWindow    time.Duration `document:"optional"`
+	// beyond it.
+	RateOverage float64 `document:"optional"`
 	// RetryPart is the part of a service's requests that may be sent once
-	// more, and RetryMost how many beyond that in RetryWindow.
-	RetryPart   float64       `document:"optional"`
-	RetryMost   float64       `document:"optional"`
-	RetryWindow time.Duration `document:"optional"`
-	// ColdFactor and ColdTolerance say how much more than its rate a server
-	// in cold start bears in a second.
-	ColdFactor    float64 `document:"optional"`
-	ColdTolerance float64 `document:"optional"`
-	// ProbeRate is how many load probes a second one server may get.
-	ProbeRate float64 `document:"optional"`
+	// more, and RetryMost how many beyond that over all VMs.
+	RetryPart float64 `document:"optional"`
+	RetryMost float64 `document:"optional"`
 	// FarCost is the time that a thousand bytes of an answer from a backend
 	// server in another data centre count as when a server is chosen.
 	FarCost time.Duration `document:"optional"`
