Cap what one VM lets pass, and follow the coordinator of longest standing

A rise of six times and four VMs cut off a second later; the VMs then followed coordinators that were new and did not know what had passed. Change: among coordinators that hear about as many VMs the one of the longest standing decides; no VM lets more than 2.5 equal shares pass; less of the overage is used.

--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -26,6 +26,11 @@
 	// report due early.
 	surgeLeast  = 4.0
 	surgeFactor = 2.0
+	// capRate is how many equal shares one VM may let pass, and capLeast how
+	// many requests at once beside its share of the burst: callers are spread
+	// unevenly over the VMs.
+	capRate  = 2.5
+	capLeast = 3.0
 	// settleIn is the time in which a bucket's excess or debt is evened out.
 	settleIn = time.Second
 	// youngFor is how long a process does not know yet what is asked of the
@@ -88,6 +93,9 @@
 	// tokens are those of the equal share, for when no coordinator is heard.
 	tokens float64
 	filled time.Time
+	// cap is what may still pass here whatever the coordinators say.
+	cap    float64
+	capped time.Time
 	// told is what of wanted was reported, and usual how much a report tells.
 	told  uint64
 	usual float64
@@ -106,7 +114,9 @@
 type parts struct {
 	at        time.Time
 	reporting uint32
-	of        map[uint64]uint32
+	// since is how long the coordinator has been one.
+	since time.Duration
+	of    map[uint64]uint32
 }
 
 // total is what all VMs did of one workspace, as a coordinator knows it.
@@ -172,6 +182,7 @@
 	v := l.decide(now, workspace, m, u)
 	if v.Granted {
 		u.granted++
+		u.cap--
 	}
 	return v
 }
@@ -193,6 +204,9 @@
 		n = (n + startShare - 1) / startShare
 	}
 	u.fill(now, m, n)
+	if !u.within(now, m, n) {
+		return Verdict{Part: capRate / float64(n)}
+	}
 	p := l.best(now)
 	if p == nil {
 		if u.tokens < 1 {
@@ -214,6 +228,20 @@
 	return v
 }
 
+// within tells whether this VM is within the most that it lets pass whatever the
+// coordinators say: some equal shares, so that a rise that they do not know yet
+// is bounded.
+func (u *use) within(now time.Time, m Limit, n int) bool {
+	share := m.Rate / float64(n)
+	most := capLeast + burstKept*m.Burst/float64(n)
+	if u.capped.IsZero() {
+		u.cap = most
+	}
+	u.cap = min(most, u.cap+now.Sub(u.capped).Seconds()*max(2, capRate*share))
+	u.capped = now
+	return u.cap >= 1
+}
+
 // fill adds the tokens of an equal share of n VMs.
 func (u *use) fill(now time.Time, m Limit, n int) {
 	d := now.Sub(u.filled).Seconds()
@@ -229,7 +257,20 @@
 	return l.surges
 }
 
-// best returns the fresh answer of the coordinator that hears most VMs.
+// better tells whether p goes before b: it comes from a coordinator that hears
+// more VMs, or about as many and has been one for longer, so that it knows of
+// what was granted before.
+func (p *parts) better(b *parts) bool {
+	switch {
+	case p.reporting*10 > b.reporting*11:
+		return true
+	case b.reporting*10 > p.reporting*11:
+		return false
+	}
+	return p.since > b.since
+}
+
+// best returns the fresh answer of the best coordinator.
 func (l *Limits) best(now time.Time) *parts {
 	var b *parts
 	for _, p := range l.parts {
@@ -237,7 +278,7 @@
 		if now.Sub(p.at) >= answerFresh || p.reporting < 2 {
 			continue
 		}
-		if b == nil || p.reporting > b.reporting || p.reporting == b.reporting && p.at.After(b.at) {
+		if b == nil || p.better(b) {
 			b = p
 		}
 	}
@@ -301,11 +342,11 @@
 
 // spentPart is the part of the overage that is used while all VMs are heard; the
 // rest is for what passes before a rise in demand is known to all.
-const spentPart = 0.1
+const spentPart = 0.0
 
 // burstKept is the part of a burst that a coordinator grants: one more may do so
 // unseen when the fleet is cut.
-const burstKept = 0.7
+const burstKept = 0.6
 
 // spent is the part of the limits that passes beyond them while all VMs are
 // heard.
@@ -387,11 +428,11 @@
 
 // unseenGrants is for how long a rise in demand passes before the coordinators
 // know it, about.
-const unseenGrants = 0.5
+const unseenGrants = 1.0
 
 // overageKept is the part of the limits that is left unused for reports that
 // are late.
-const overageKept = 0.05
+const overageKept = 0.1
 
 // factor returns by how much the limits are to be scaled while some VMs are
 // silent: those may live on, cut off, with an equal share each. The smaller side
@@ -411,7 +452,8 @@
 	if l.parts == nil || time.Duration(a.GetSinceMillis())*time.Millisecond < youngFor {
 		return
 	}
-	p := &parts{at: now, reporting: a.GetReporting(), of: map[uint64]uint32{}}
+	since := time.Duration(a.GetSinceMillis()) * time.Millisecond
+	p := &parts{at: now, reporting: a.GetReporting(), since: since, of: map[uint64]uint32{}}
 	for _, g := range a.GetGrants() {
 		p.of[g.GetWorkspace()] = g.GetPart()
 	}
--- a/lentilbend/internal/backend/answer_test.go
+++ b/lentilbend/internal/backend/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -109,6 +110,15 @@
 		big := strings.Repeat("x", 64<<20)
 		s := newServer(saysAndCloses("HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n" + big))
 		e := newEntry(s.address())
+		// The kernel may hold as much as the answer for a reader whose buffer it
+		// may grow.
+		e.Client().Transport = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return c, c.(*net.TCPConn).SetReadBuffer(64 << 10)
+		}}
 		a, err := e.try("GET", "/read/1", "", exchange.TimeoutHeader, "200ms")
 		Expect(err).NotTo(HaveOccurred())
 		defer a.Body.Close()
