--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -29,7 +29,7 @@
 	// capRate is how many equal shares one VM may let pass, and capLeast how
 	// many requests at once beside its share of the burst: callers are spread
 	// unevenly over the VMs.
-	capRate  = 2.5
+	capRate  = 2.0
 	capLeast = 3.0
 	// settleIn is the time in which a bucket's excess or debt is evened out.
 	settleIn = time.Second
@@ -346,7 +346,7 @@
 
 // burstKept is the part of a burst that a coordinator grants: one more may do so
 // unseen when the fleet is cut.
-const burstKept = 0.6
+const burstKept = 0.4
 
 // spent is the part of the limits that passes beyond them while all VMs are
 // heard.
