--- /dev/null
+++ b/internal/roster/totals.go
@@ -0,0 +1,150 @@
+package roster
+
+import (
+	"math"
+	"time"
+
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/peerpb"
+)
+
+// total is what all VMs did of one workspace, as a coordinator knows it.
+type total struct {
+	level  float64
+	filled time.Time
+	// demand is in requests a second.
+	demand float64
+	wanted uint64
+	marked time.Time
+}
+
+// report takes the counts of a VM.
+// Those that a young process did before its first report here are of late.
+func (l *Limits) report(now time.Time, from member.ID, young bool, us []*peerpb.WorkspaceUse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, known := l.seen[from]
+	if !known {
+		s = map[uint64]counts{}
+		if l.seen != nil {
+			l.seen[from] = s
+		}
+	}
+	for _, u := range us {
+		o := s[u.GetWorkspace()]
+		n := counts{wanted: max(o.wanted, u.GetWanted()), granted: max(o.granted, u.GetGranted())}
+		s[u.GetWorkspace()] = n
+		// What a VM did before it first reported here lies in the past.
+		if known || young {
+			l.add(now, u.GetWorkspace(), n.wanted-o.wanted, n.granted-o.granted)
+		}
+	}
+}
+
+// add counts requests of a workspace.
+func (l *Limits) add(now time.Time, workspace uint64, wanted, granted uint64) {
+	m, ok := l.limits[workspace]
+	if !ok || m.Rate <= 0 {
+		return
+	}
+	t := l.totals[workspace]
+	if t == nil {
+		// What others granted just before this VM became a coordinator counts
+		// too, so that a bucket starts empty then.
+		t = &total{filled: l.since, marked: now, level: -l.debt * m.Rate}
+		l.totals[workspace] = t
+	}
+	t.refill(now, m, l.scale)
+	t.level -= float64(granted)
+	t.wanted += wanted
+}
+
+// spentPart is the part of the overage that is used while all VMs are heard; the
+// rest is for what passes before a rise in demand is known to all.
+const spentPart = 0.0
+
+// burstKept is the part of a burst that a coordinator grants: one more may do so
+// unseen when the fleet is cut.
+const burstKept = 0.4
+
+// spent is the part of the limits that passes beyond them while all VMs are
+// heard.
+func (l *Limits) spent() float64 {
+	return l.Overage * spentPart
+}
+
+// coordinate forgets what this VM knew when it was last a coordinator.
+func (l *Limits) coordinate(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since, l.debt = now, unseenGrants
+	clear(l.totals)
+	clear(l.seen)
+}
+
+// refill adds what the limit, scaled, gave since the last time.
+func (t *total) refill(now time.Time, m Limit, scale float64) {
+	t.level = min(m.Burst*burstKept*min(1, scale), t.level+now.Sub(t.filled).Seconds()*m.Rate*scale)
+	t.filled = now
+}
+
+// measure brings the demand up to date.
+func (t *total) measure(now time.Time) {
+	d := now.Sub(t.marked)
+	if d < reportEvery {
+		return
+	}
+	x := float64(t.wanted) / d.Seconds()
+	t.demand += demandWeight * (x - t.demand)
+	// A rise that is no chance counts at once.
+	sure := (float64(t.wanted) - rareDeviations*math.Sqrt(float64(t.wanted))) / d.Seconds()
+	t.demand = max(t.demand, sure)
+	t.wanted, t.marked = 0, now
+}
+
+// grants returns the workspaces of which not everything may pass. Silent VMs
+// are taken to use an equal share, as far as the overage does not pay for it.
+func (l *Limits) grants(now time.Time, reporting, silent int) []*peerpb.WorkspaceGrant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scale = l.factor(reporting, silent)
+	var gs []*peerpb.WorkspaceGrant
+	for w, t := range l.totals {
+		m := l.limits[w]
+		if m.Rate <= 0 {
+			delete(l.totals, w)
+			continue
+		}
+		t.refill(now, m, l.scale)
+		t.measure(now)
+		may := max(0, m.Rate*l.scale+t.level/settleIn.Seconds())
+		if t.demand <= may {
+			continue
+		}
+		gs = append(gs, &peerpb.WorkspaceGrant{Workspace: w, Part: uint32(whole * may / t.demand)})
+	}
+	return gs
+}
+
+// minority is the part of the VMs from which on the silent ones may be the
+// larger side of a cut.
+const minority = 0.45
+
+// unseenGrants is for how long a rise in demand passes before the coordinators
+// know it, about.
+const unseenGrants = 1.0
+
+// overageKept is the part of the limits that is left unused for reports that
+// are late.
+const overageKept = 0.1
+
+// factor returns by how much the limits are to be scaled while some VMs are
+// silent: those may live on, cut off, with an equal share each. The smaller side
+// of a cut takes no more than its own shares.
+func (l *Limits) factor(reporting, silent int) float64 {
+	kept := float64(silent) / float64(max(1, reporting+silent))
+	if kept >= minority {
+		return 1 - kept
+	}
+	return min(1+l.spent(), 1+l.Overage-overageKept-kept)
+}
