--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -29,7 +29,7 @@
 	// many requests at once beside its share of the burst: callers are spread
 	// unevenly over the VMs.
 	capRate  = 2.0
-	capLeast = 3.0
+	capLeast = 4.0
 	// settleIn is the time in which a bucket's excess or debt is evened out.
 	settleIn = time.Second
 	// youngFor is how long a process does not know yet what is asked of the
@@ -58,6 +58,9 @@
 	// Overage is the part of a limit that may pass beyond it, which pays for
 	// not knowing which VMs are alive.
 	Overage float64
+	// Tolerance is how many requests of a workspace may pass beyond that in a
+	// few seconds.
+	Tolerance float64
 	// Count returns how many VMs there are, this one included, and whether
 	// that has settled since the process began.
 	Count func() (int, bool)
@@ -159,7 +162,7 @@
 		// Credit by chance keeps many VMs from letting one request each pass
 		// at once.
 		u = &use{tokens: l.chance(), filled: now, credit: l.chance()}
-		if now.Sub(l.began) < startFor {
+		if n, _ := l.Count(); now.Sub(l.began) < startFor && l.chance()*float64(n) < startShare*m.Burst {
 			u.tokens = 1
 		}
 		l.own[workspace] = u
@@ -288,11 +291,11 @@
 	return us
 }
 
-// SetOverage replaces the overage.
-func (l *Limits) SetOverage(o float64) {
+// SetOverage replaces the overage and the tolerance.
+func (l *Limits) SetOverage(overage, tolerance float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Overage = o
+	l.Overage, l.Tolerance = overage, tolerance
 }
 
 // start sets the time at which the process began.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,9 +38,6 @@
 	silentAfter = 2*reportEvery + reportEvery/2
 	// retryAfter is how long a coordinator that did not answer is passed over.
 	retryAfter = 2 * time.Second
-	// seedEvery is the time between reports to a seed, which join parts of a
-	// fleet that lost each other.
-	seedEvery = time.Second
 	// listEvery is the least time between two tellings of all members to a VM.
 	listEvery = time.Second
 	// forgetAfter is how long a silent VM is remembered: as long as the
@@ -71,9 +68,8 @@
 	coordinators []netip.AddrPort
 	number       uint64
 	reported     time.Time
-	seeded       time.Time
-	seed         int
 	leaving      bool
+	visit        visit
 	// since is when this VM became a coordinator.
 	since time.Time
 	// met is when a VM was last heard for the first time.
@@ -99,6 +95,7 @@
 	r.forget(now)
 	r.elect(now)
 	r.watch(now)
+	r.plan(now)
 	if d := now.Sub(r.reported); d < earliestReport || d < reportEvery && !r.surging() {
 		return nil
 	}
@@ -114,8 +111,8 @@
 		}
 		ss = append(ss, r.ask(now, a, q))
 	}
-	for _, a := range r.seedsDue(now) {
-		ss = append(ss, r.ask(now, a, q))
+	for _, a := range r.strangers(now) {
+		ss = append(ss, Send{To: a, Report: q})
 	}
 	return ss
 }
@@ -145,23 +142,6 @@
 	return Send{To: a, Report: q}
 }
 
-// seedsDue returns the seeds to report to: all while nobody was heard, else
-// the one whose turn it is. Those that are reported to anyway are left out.
-func (r *Roster) seedsDue(now time.Time) []netip.AddrPort {
-	var as []netip.AddrPort
-	switch {
-	case len(r.vms) == 0:
-		as = slices.Clone(r.Seeds)
-	case len(r.Seeds) > 0 && now.Sub(r.seeded) >= seedEvery:
-		r.seeded = now
-		r.seed++
-		as = []netip.AddrPort{r.Seeds[r.seed%len(r.Seeds)]}
-	}
-	return slices.DeleteFunc(as, func(a netip.AddrPort) bool {
-		return a == r.Self.Address || slices.Contains(r.coordinators, a)
-	})
-}
-
 // Leave announces the end of this process to all that it reports to.
 func (r *Roster) Leave(now time.Time) []Send {
 	r.leaving = true
@@ -240,30 +220,30 @@
 
 // elect finds the coordinators.
 func (r *Roster) elect(now time.Time) {
-	type candidate struct {
-		address  netip.AddrPort
-		capacity int
-		rank     uint64
-	}
-	var cs []candidate
+	var cs []*vm
 	if !r.leaving {
-		cs = append(cs, candidate{r.Self.Address, r.Capacity, rank(r.Self.Address)})
+		cs = append(cs, &vm{id: r.Self, capacity: r.Capacity, rank: rank(r.Self.Address)})
 	}
-	for a, v := range r.vms {
+	for _, v := range r.vms {
 		failed := !v.failed.IsZero() && now.Sub(v.failed) < retryAfter
 		if v.ended.IsZero() && !failed && (r.live(now, v) || !v.asked.IsZero()) {
-			cs = append(cs, candidate{a, v.capacity, v.rank})
+			cs = append(cs, v)
 		}
 	}
-	slices.SortFunc(cs, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.rank, a.rank), a.address.Compare(b.address))
-	})
 	r.coordinators = nil
-	for _, c := range cs[:min(coordinators, len(cs))] {
-		r.coordinators = append(r.coordinators, c.address)
+	for _, v := range best(cs) {
+		r.coordinators = append(r.coordinators, v.id.Address)
 	}
 }
 
+// best returns the VMs of the highest rank, as many as there are coordinators.
+func best(vs []*vm) []*vm {
+	slices.SortFunc(vs, func(a, b *vm) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.rank, a.rank), a.id.Address.Compare(b.id.Address))
+	})
+	return vs[:min(coordinators, len(vs))]
+}
+
 func rank(a netip.AddrPort) uint64 {
 	b, err := a.MarshalBinary()
 	if err != nil {
--- a/internal/roster/totals.go
+++ b/internal/roster/totals.go
@@ -54,7 +54,7 @@
 		t = &total{filled: l.since, marked: now, level: -l.debt * m.Rate}
 		l.totals[workspace] = t
 	}
-	t.refill(now, m, l.scale)
+	t.refill(now, m, l)
 	t.level -= float64(granted)
 	t.wanted += wanted
 }
@@ -67,6 +67,10 @@
 // unseen when the fleet is cut.
 const burstKept = 0.4
 
+// toleranceKept is the part of the tolerance that a coordinator grants, for the
+// same reason.
+const toleranceKept = 0.4
+
 // spent is the part of the limits that passes beyond them while all VMs are
 // heard.
 func (l *Limits) spent() float64 {
@@ -83,8 +87,9 @@
 }
 
 // refill adds what the limit, scaled, gave since the last time.
-func (t *total) refill(now time.Time, m Limit, scale float64) {
-	t.level = min(m.Burst*burstKept*min(1, scale), t.level+now.Sub(t.filled).Seconds()*m.Rate*scale)
+func (t *total) refill(now time.Time, m Limit, l *Limits) {
+	most := (m.Burst*burstKept + l.Tolerance*toleranceKept) * min(1, l.scale)
+	t.level = min(most, t.level+now.Sub(t.filled).Seconds()*m.Rate*l.scale)
 	t.filled = now
 }
 
@@ -115,7 +120,7 @@
 			delete(l.totals, w)
 			continue
 		}
-		t.refill(now, m, l.scale)
+		t.refill(now, m, l)
 		t.measure(now)
 		may := max(0, m.Rate*l.scale+t.level/settleIn.Seconds())
 		if t.demand <= may {
--- a/lentilbend/internal/openfleet/openfleet.go
+++ b/lentilbend/internal/openfleet/openfleet.go
@@ -88,7 +88,7 @@
 	// to the ticks unless a message brought a VM.
 	if now.Sub(f.published) >= publishEvery || f.Roster.Count() != known {
 		f.published = now
-		f.publish(now, ss)
+		f.publish(now)
 	}
 	f.mu.Unlock()
 	for _, s := range ss {
@@ -104,8 +104,8 @@
 }
 
 // publish stores the state for other parts, and names the VMs to stay connected
-// to: those that messages go to. mu is held.
-func (f *Fleet) publish(now time.Time, ss []roster.Send) {
+// to. mu is held.
+func (f *Fleet) publish(now time.Time) {
 	r := f.Roster
 	n := &State{
 		Live:         r.Live(now),
@@ -116,15 +116,7 @@
 		Settled:      r.Settled(now),
 	}
 	n.Coordinates = slices.Contains(n.Coordinators, r.Self.Address)
-	to := slices.Clone(n.Neighbours)
-	if !n.Joined {
-		to = append(to, r.Seeds...)
-	}
-	for _, s := range ss {
-		to = append(to, s.To)
-	}
-	slices.SortFunc(to, netip.AddrPort.Compare)
-	to = slices.Compact(to)
+	to := r.Peers(now)
 	if !slices.Equal(to, f.to) {
 		f.to = to
 		f.Transport.Peers(now, to)
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -76,7 +76,8 @@
 		Times:      peerTimes,
 	}
 	p.workspaces = &roster.Limits{
-		Overage: s.Fleet.RateOverage,
+		Overage:   s.Fleet.RateOverage,
+		Tolerance: s.Fleet.RateTolerance,
 		Count: func() (int, bool) {
 			t := p.open.State()
 			return t.Count, t.Settled
--- a/lentilbend/internal/serve/reload.go
+++ b/lentilbend/internal/serve/reload.go
@@ -62,7 +62,7 @@
 	}
 	if p.isOpen() {
 		p.open.SetSeeds(s.Peer.Seeds)
-		p.workspaces.SetOverage(s.Fleet.RateOverage)
+		p.workspaces.SetOverage(s.Fleet.RateOverage, s.Fleet.RateTolerance)
 	}
 	_ = level.Info(p.logger).Log("msg", "Settings read again.", "seeds", len(s.Peer.Seeds), "restart", needsRestart(p.Settings, s))
 	if err := p.bus.Publish(event.SettingsRead{}); err != nil {
--- a/lentilbend/internal/settings/check.go
+++ b/lentilbend/internal/settings/check.go
@@ -48,6 +48,7 @@
 func (c *checker) fleet(f Fleet) {
 	c.least("Fleet.Capacity", f.Capacity)
 	c.least("Fleet.RateOverage", f.RateOverage)
+	c.least("Fleet.RateTolerance", f.RateTolerance)
 	c.least("Fleet.RetryPart", f.RetryPart)
 	c.least("Fleet.RetryMost", f.RetryMost)
 	c.that(f.FarCost >= 0, "Fleet.FarCost", "must not be negative")
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -34,6 +34,9 @@
 	// RateOverage is the part of a workspace's rate and burst that may pass
 	// beyond it.
 	RateOverage float64 `document:"optional"`
+	// RateTolerance is how many requests of a workspace may pass beyond its
+	// rate, burst and overage in a few seconds.
+	RateTolerance float64 `document:"optional"`
 	// RetryPart is the part of a service's requests that may be sent once
 	// more, and RetryMost how many beyond that over all VMs.
 	RetryPart float64 `document:"optional"`
