--- a/lentilbend/internal/chooser/gate.go
+++ b/lentilbend/internal/chooser/gate.go
@@ -20,6 +20,14 @@
 
 // Tick ends waits that are over, in all services.
 func (s *Services) Tick(now time.Time) {
+	s.mu.Lock()
+	s.sample(now)
+	due := false
+	s.each(func(_ string, v *service) { due = due || v.due(now) })
+	s.mu.Unlock()
+	if due {
+		s.Refresh(now)
+	}
 	s.each(func(_ string, v *service) {
 		if v.gate.Waiting() > 0 {
 			v.gate.Tick(now)
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -32,6 +32,9 @@
 	// Entries returns how many entry VMs there are; nil where the VM list
 	// tells.
 	Entries func() int
+	// ReadAge returns how long ago the platform was last read to the table in
+	// force, here or by a peer; nil where lapsed servers are not to be held.
+	ReadAge func() (time.Duration, bool)
 	// Ask asks servers for their load just before a choice; nil for no such
 	// probes.
 	Ask func(v *service, kind string, tried []netip.AddrPort)
@@ -54,6 +57,8 @@
 	mu       sync.Mutex
 	services atomic.Pointer[map[string]*service]
 	early    map[string][]early
+	// away is when the platform was last known to be away.
+	away time.Time
 }
 
 // surePart is the part of the slots of a service that are used at once whatever
@@ -70,6 +75,9 @@
 	path   atomic.Pointer[string]
 	table  uint64
 	list   uint64
+	// servers are those of the table, and held others that stay in use.
+	servers []table.Server
+	held    []held
 }
 
 // Choose returns a call to a server of x.Service that is not in tried, or false
@@ -126,6 +134,7 @@
 	if t == nil {
 		return
 	}
+	s.sample(now)
 	l := s.list()
 	m := make(map[string]*service, len(t.Services))
 	for i := range t.Services {
@@ -159,9 +168,10 @@
 
 // update gives a service its servers, unless it has them already.
 func (s *Services) update(now time.Time, v *service, t *table.Table, c *table.Service, l list) {
-	if v.table == t.Revision && v.list == l.revision {
+	if v.table == t.Revision && v.list == l.revision && !v.due(now) {
 		return
 	}
+	v.held = s.hold(now, v, t, c)
 	v.table, v.list = t.Revision, l.revision
 	v.path.Store(&c.LoadPath)
 	v.cold.Set(c.ColdRate, l.entries)
@@ -175,6 +185,10 @@
 		}
 		ss = append(ss, b)
 	}
+	for _, h := range v.held {
+		in++
+		ss = append(ss, h.choice(t, l))
+	}
 	v.gate.SetLeast(surePart * float64(in*c.Slots) / float64(max(1, l.entries)))
 	v.set.Update(now, choice.Limits{
 		Slots: c.Slots, ColdFor: c.ColdFor, VMs: l.entries, Stated: s.Stated,
--- a/lentilbend/internal/chooser/services_test.go
+++ b/lentilbend/internal/chooser/services_test.go
@@ -90,6 +90,108 @@
 		Expect(choose()).To(Equal(map[netip.AddrPort]bool{second: true}))
 	})
 
+	Context("when servers are missing from the table", func() {
+		var age time.Duration
+
+		BeforeEach(func() {
+			age = 0
+			s.ReadAge = func() (time.Duration, bool) { return age, true }
+			s.Refresh(now)
+		})
+		later := func(d time.Duration) {
+			s.Tick(now.Add(d))
+		}
+
+		It("give them nothing more", func() {
+			t = values(2, "In", second)
+			s.Refresh(now)
+			Expect(choose()).To(Equal(map[netip.AddrPort]bool{second: true}))
+		})
+
+		It("keep one of them too after the platform was away", func() {
+			age = 3 * time.Second
+			t = values(2, "In", second)
+			s.Refresh(now)
+			Expect(choose()).To(HaveLen(2))
+		})
+
+		It("keep them for two seconds after the platform was away", func() {
+			age = 3 * time.Second
+			later(time.Second)
+			age = 0
+			t = values(2, "In")
+			s.Refresh(now.Add(1500 * time.Millisecond))
+			Expect(choose()).To(HaveLen(2))
+			n, ok := s.Held(first)
+			Expect(ok).To(BeTrue())
+			Expect(n).To(Equal(10))
+			later(2900 * time.Millisecond)
+			Expect(choose()).To(HaveLen(2))
+			later(3 * time.Second)
+			Expect(choose()).To(BeEmpty())
+		})
+
+		It("keep them when the table comes before the word that the platform is back", func() {
+			age = 3 * time.Second
+			t = values(2, "In")
+			s.Refresh(now)
+			Expect(choose()).To(HaveLen(2))
+		})
+
+		It("keep all while the table names no data centre, and do not take them as cold later", func() {
+			age = 3 * time.Second
+			t = values(2, "In")
+			t.DataCentres = nil
+			t.Build()
+			s.Refresh(now)
+			Expect(choose()).To(HaveLen(2))
+			t = values(3, "In", first, second)
+			s.Refresh(now)
+			d := s.Dump().([]chooser.ServiceDump)
+			Expect(d[0].Choice.Servers[0].Phase).To(Equal("Warm"))
+		})
+
+		It("give nothing more to one whose data centre is out", func() {
+			age = 3 * time.Second
+			t = values(2, "Out", first, second)
+			v, _ := t.Service("till")
+			v.Servers = nil
+			s.Refresh(now)
+			Expect(choose()).To(Equal(map[netip.AddrPort]bool{second: true}))
+		})
+
+		It("keep them as what they were once they are entered again", func() {
+			age = 3 * time.Second
+			t = values(2, "In")
+			s.Refresh(now)
+			age = 0
+			t = values(3, "In", first, second)
+			s.Refresh(now.Add(time.Second))
+			later(5 * time.Second)
+			Expect(choose()).To(HaveLen(2))
+		})
+
+		It("give nothing more to one whose address another service has", func() {
+			age = 3 * time.Second
+			t = values(2, "In")
+			t.Services = append(t.Services, table.Service{Name: "other", Servers: []table.Server{{Address: first, DataCentre: "a"}}})
+			t.Build()
+			s.Refresh(now)
+			Expect(choose()).To(Equal(map[netip.AddrPort]bool{second: true}))
+		})
+
+		It("give nothing more to one that said that it leaves", func() {
+			t = values(2, "In", first, second)
+			v, _ := t.Service("till")
+			v.Servers[0].Leaving = true
+			s.Refresh(now)
+			age = 3 * time.Second
+			t = values(3, "In")
+			s.Refresh(now)
+			Expect(choose()).To(Equal(map[netip.AddrPort]bool{second: true}))
+		})
+	})
+
 	It("pass news on to another VM, also before its table", func() {
 		s.Refresh(now)
 		v, _ := t.Service("till")
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -170,7 +170,7 @@
 func (r *Relay) announce(to netip.AddrPort) {
 	v := r.Store.Accepted()
 	m := &peerpb.ConfigMessage{Accepted: v.Revision, Digest: v.Digest, List: r.List.Revision()}
-	if d, ok := r.readAge(); ok {
+	if d, ok := r.Age(); ok {
 		m.ReadAge = uint32(min(d.Milliseconds(), maxReadAge.Milliseconds())) + 1
 	}
 	r.Peers.Send(to, &peerpb.Frame{Config: []*peerpb.ConfigMessage{m}})
@@ -196,9 +196,9 @@
 	return time.Since(r.covered), !r.covered.IsZero()
 }
 
-// readAge returns how long ago this VM, or another that it learned from, last
+// Age returns how long ago this VM, or another that it learned from, last
 // read the platform to a revision that is in force here.
-func (r *Relay) readAge() (time.Duration, bool) {
+func (r *Relay) Age() (time.Duration, bool) {
 	if r.ReadAge == nil {
 		return 0, false
 	}
--- a/lentilbend/internal/serve/connections.go
+++ b/lentilbend/internal/serve/connections.go
@@ -15,6 +15,9 @@
 	Table func() *table.Table
 	// VMs returns how many entry VMs use the servers, this one included.
 	VMs func(now time.Time) int
+	// Held returns how many connections a server accepts that left the table
+	// but stays in use; nil where there are none.
+	Held func(server netip.AddrPort) (int, bool)
 
 	known atomic.Pointer[serverConnections]
 }
@@ -27,7 +30,7 @@
 
 // allowance returns how many connections to a server this VM may have open. A
 // server that stands in several services accepts the least that one states.
-// One that left the table gets none.
+// One that left the table gets none, unless it stays in use.
 func (c *connections) allowance(server netip.AddrPort) int {
 	t := c.Table()
 	if t == nil {
@@ -39,6 +42,9 @@
 		c.known.Store(k)
 	}
 	n, ok := k.accept[server]
+	if !ok && c.Held != nil {
+		n, ok = c.Held(server)
+	}
 	if !ok {
 		return 0
 	}
--- a/lentilbend/internal/serve/connections_test.go
+++ b/lentilbend/internal/serve/connections_test.go
@@ -20,6 +20,7 @@
 		c := &connections{
 			Table: func() *table.Table { return t },
 			VMs:   func(time.Time) int { return vms },
+			Held:  func(s netip.AddrPort) (int, bool) { return 160, s == a("192.0.2.4:1") },
 		}
 		Expect(c.allowance(a(address))).To(Equal(want))
 	},
@@ -28,4 +29,5 @@
 	Entry("of more VMs than connections", 300, "192.0.2.1:1", 1),
 	Entry("that stands in two services", 16, "192.0.2.2:1", 5),
 	Entry("that left the table", 1, "192.0.2.3:1", 0),
+	Entry("that left the table but stays in use", 16, "192.0.2.4:1", 10),
 )
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -130,6 +130,7 @@
 // the roster.
 func (p *Process) buildOpenLimits() {
 	p.services.Stated = true
+	p.services.ReadAge = func() (time.Duration, bool) { return p.relay.Age() }
 	p.services.Entries = func() int { return p.open.State().Count }
 	p.services.Cold = func(string) choice.Allowance { return p.coldSponsor() }
 	p.services.Home = p.Settings.DataCentre
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -24,6 +24,7 @@
 	c := &connections{
 		Table: p.table,
 		VMs:   p.countVMs,
+		Held:  p.services.Held,
 	}
 	p.pools = pool.New(c.allowance)
 	if p.isOpen() {
