--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -42,6 +42,8 @@
 	// down.
 	startFor   = time.Second
 	startShare = 2
+	// firstMost is how many requests a process that just began lets pass at most.
+	firstMost = 3
 	// whole is the part that lets everything pass, in thousandths.
 	whole = 1000
 )
@@ -162,8 +164,8 @@
 		// Credit by chance keeps many VMs from letting one request each pass
 		// at once.
 		u = &use{tokens: l.chance(), filled: now, credit: l.chance()}
-		if n, _ := l.Count(); now.Sub(l.began) < startFor && l.chance()*float64(n) < startShare*m.Burst {
-			u.tokens = 1
+		if now.Sub(l.began) < startFor {
+			u.tokens = l.first(m)
 		}
 		l.own[workspace] = u
 	}
@@ -179,6 +181,20 @@
 	return v
 }
 
+// first returns the tokens of a process that just began: its share of what
+// gathers while a fleet is down, and a whole one by chance where that is less.
+func (l *Limits) first(m Limit) float64 {
+	n, settled := l.Count()
+	if !settled {
+		n = max(n, unknownVMs)
+	}
+	share := startShare * (m.Burst + l.Tolerance*toleranceKept) / float64(n)
+	if share < 1 && l.chance() < share {
+		return 1
+	}
+	return min(share, firstMost)
+}
+
 // chance returns a number of at least 0 and below 1.
 func (l *Limits) chance() float64 {
 	if l.Rand == nil {
@@ -195,7 +211,7 @@
 	case now.Sub(l.began) < startFor:
 		n = (n + startShare - 1) / startShare
 	}
-	u.fill(now, m, n)
+	u.fill(now, m, n, l.Tolerance*toleranceKept)
 	if !u.within(now, m, n) {
 		return Verdict{Part: capRate / float64(n)}
 	}
@@ -234,11 +250,12 @@
 	return u.cap >= 1
 }
 
-// fill adds the tokens of an equal share of n VMs.
-func (u *use) fill(now time.Time, m Limit, n int) {
+// fill adds the tokens of an equal share of n VMs. Spare is what may be kept
+// beyond the burst.
+func (u *use) fill(now time.Time, m Limit, n int, spare float64) {
 	d := now.Sub(u.filled).Seconds()
 	u.filled = now
-	most := max(1, m.Burst/float64(n))
+	most := max(1, (m.Burst+spare)/float64(n))
 	u.tokens = min(most, u.tokens+d*m.Rate/float64(n))
 }
 
