--- /dev/null
+++ b/standin/internal/soak/call.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"lentilbend.example/platform/platformtest"
+
+	"lentilbend.example/standin/internal/fleet"
+)
+
+// callTimeout is how long a caller waits for an answer, in the request too.
+const callTimeout = 1500 * time.Millisecond
+
+// call is a request as its caller saw it.
+type call struct {
+	id, key   string
+	unsafe    bool
+	began     time.Time
+	status    int // 0 when no whole answer came
+	body      string
+	signature string
+	echo      string
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+
+// ask sends requests to VMs that run until ctx ends.
+func (s *Soak) ask(ctx context.Context, caller int) {
+	r := rand.New(rand.NewPCG(s.Seed, uint64(100+caller)))
+	for i := 0; ctx.Err() == nil; i++ {
+		key := platformtest.SouthKey
+		if r.IntN(2) == 0 {
+			key = "north-key"
+		}
+		e := s.fleet.Entries[r.IntN(len(s.fleet.Entries))]
+		c := s.send(context.WithoutCancel(ctx), e, r.IntN(2) == 0, key, fmt.Sprintf("c%d-%d", caller, i))
+		s.mu.Lock()
+		s.calls = append(s.calls, c)
+		s.mu.Unlock()
+		time.Sleep(callEvery/2 + time.Duration(r.Int64N(int64(callEvery))))
+	}
+}
+
+func (s *Soak) send(ctx context.Context, e *fleet.Entry, unsafe bool, key, id string) call {
+	c := call{id: id, key: key, unsafe: unsafe, began: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	method, path := http.MethodGet, "/look/1"
+	if unsafe {
+		method, path = http.MethodPost, "/buy/1"
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.Caller.String()+path, http.NoBody)
+	if err != nil {
+		return c
+	}
+	r.Host = "a.example"
+	r.Header.Set("X-Api-Key", key)
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	a, err := client.Do(r)
+	if err != nil {
+		return c
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return c
+	}
+	c.status, c.body = a.StatusCode, strings.TrimSpace(string(b))
+	c.signature, c.echo = a.Header.Get("Server-Signature"), a.Header.Get("Request-Id")
+	return c
+}
