--- /dev/null
+++ b/lentilbend/internal/relay/pack_test.go
@@ -0,0 +1,71 @@
+package relay_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"lentilbend.example/internal/peerpb"
+	"lentilbend.example/internal/platformpb"
+)
+
+var _ = Describe("large values", func() {
+	// grow puts a table with a value of some hundred kilobytes in force.
+	grow := func(text string) *platformpb.ValuesAnswer {
+		return &platformpb.ValuesAnswer{Revision: 9, Values: []*platformpb.Value{
+			{Name: "DataCentres", Revision: 9, Text: "DataCentre = []"},
+			{Name: "Routes", Revision: 9, Text: "Route = []" + text},
+			{Name: "Workspaces", Revision: 9, Text: "Workspace = []"},
+		}}
+	}
+	var lines strings.Builder
+	for i := range 5000 {
+		fmt.Fprintf(&lines, "\n# route %d to a service that many share", i)
+	}
+
+	It("travel packed and are in force everywhere", func() {
+		_, rs := fleet(3)
+		rs[0].Store.ApplyPlatform(0, grow(lines.String()))
+		Eventually(lowest(rs), "3s").Should(Equal(uint64(9)))
+		Expect(rs[2].Store.Accepted()).To(Equal(rs[0].Store.Accepted()))
+		a := rs[0].Answer(&peerpb.PullRequest{Unpacks: true})
+		Expect(a.GetValues()).To(BeEmpty())
+		Expect(proto.Size(a)).To(BeNumerically("<", lines.Len()/8))
+		Expect(rs[0].Answer(&peerpb.PullRequest{Unpacks: true}).GetPacked()).To(Equal(a.GetPacked()))
+	})
+
+	It("go as they are to a peer that cannot unpack them, and where they are small", func() {
+		_, rs := fleet(1)
+		rs[0].Store.ApplyPlatform(0, grow(lines.String()))
+		Expect(rs[0].Answer(&peerpb.PullRequest{}).GetValues()).To(HaveLen(3))
+		_, rs = fleet(1)
+		rs[0].Store.ApplyPlatform(0, grow(""))
+		Expect(rs[0].Answer(&peerpb.PullRequest{Unpacks: true}).GetValues()).To(HaveLen(3))
+	})
+
+	It("do no harm when a peer packs them wrongly", func() {
+		var bomb bytes.Buffer
+		g := gzip.NewWriter(&bomb)
+		zeros := make([]byte, 1<<20)
+		for range 65 {
+			_, err := g.Write(zeros)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(g.Close()).To(Succeed())
+		for _, b := range [][]byte{{1, 2, 3}, bomb.Bytes(), bomb.Bytes()[:1000]} {
+			w, rs := fleet(2)
+			w.answer(rs[1], func(context.Context) *peerpb.PullAnswer {
+				return &peerpb.PullAnswer{Accepted: 9, Digest: 1, Packed: b}
+			})
+			rs[1].Store.ApplyPlatform(0, grow(""))
+			Consistently(func() uint64 { return rs[0].Store.Accepted().Revision }, 500*time.Millisecond).Should(BeZero())
+		}
+	})
+})
--- a/lentilbend/internal/relay/pull.go
+++ b/lentilbend/internal/relay/pull.go
@@ -113,17 +113,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, t)
 	defer cancel()
-	q := &peerpb.PullRequest{Since: since, List: r.List.Revision()}
+	q := &peerpb.PullRequest{Since: since, List: r.List.Revision(), Unpacks: true}
 	a, err := r.Peers.Pull(ctx, p, q)
 	if err != nil {
 		return false, err
 	}
+	vs, err := values(a)
+	if err != nil {
+		return false, err
+	}
 	if a.GetVms() != nil {
 		r.List.Apply(a.GetVms())
 	}
 	v := store.Version{Revision: a.GetAccepted(), Digest: a.GetDigest()}
 	r.note(p, Announced{Table: v, List: max(a.GetVms().GetRevision(), q.GetList())})
-	ok := r.Store.ApplyPeer(since, v, a.GetValues())
+	ok := r.Store.ApplyPeer(since, v, vs)
 	if ok && r.Store.Accepted().Revision < v.Revision {
 		r.setInvalid(v)
 	}
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"lentilbend.example/internal/event"
 	"lentilbend.example/internal/peerpb"
@@ -72,6 +73,7 @@
 	covered time.Time
 	// forwarded is the time of the newest read that was told on.
 	forwarded time.Time
+	packer    packer
 }
 
 // Announced is what a peer last announced.
@@ -142,12 +144,24 @@
 // Answer answers a peer's pull.
 func (r *Relay) Answer(q *peerpb.PullRequest) *peerpb.PullAnswer {
 	v, vs := r.Store.Since(q.GetSince())
-	return &peerpb.PullAnswer{
+	a := &peerpb.PullAnswer{
 		Accepted: v.Revision,
 		Digest:   v.Digest,
 		Values:   vs,
 		Vms:      r.List.Message(q.GetList()),
 	}
+	if !q.GetUnpacks() {
+		return a
+	}
+	b, err := r.packer.pack(v, q.GetSince(), vs)
+	if err != nil {
+		_ = level.Warn(r.Logger).Log("msg", "Values were not packed.", "revision", v.Revision, "err", err)
+		return a
+	}
+	if b != nil {
+		a.Values, a.Packed = nil, b
+	}
+	return a
 }
 
 // CaughtUp tells whether a member that answers has announced its version and
--- a/lentilbend/internal/relay/relay_test.go
+++ b/lentilbend/internal/relay/relay_test.go
@@ -28,6 +28,15 @@
 	cut    map[[2]netip.AddrPort]bool
 	// dark VMs leave pulls without an answer.
 	dark map[netip.AddrPort]bool
+	// answers replace the answers of VMs to pulls.
+	answers map[*relay.Relay]func(context.Context) *peerpb.PullAnswer
+}
+
+// answer replaces the answers of a VM to pulls.
+func (n *network) answer(r *relay.Relay, f func(context.Context) *peerpb.PullAnswer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answers = map[*relay.Relay]func(context.Context) *peerpb.PullAnswer{r: f}
 }
 
 // port is one VM's side of the network.
@@ -66,6 +75,12 @@
 	if r == nil {
 		return nil, errors.New("cut")
 	}
+	p.network.mu.Lock()
+	f := p.network.answers[r]
+	p.network.mu.Unlock()
+	if f != nil {
+		return f(ctx), nil
+	}
 	return r.Answer(q), nil
 }
 
