--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -188,7 +188,7 @@
 	if !settled {
 		n = max(n, unknownVMs)
 	}
-	share := startShare * (m.Burst + l.Tolerance*toleranceKept) / float64(n)
+	share := startShare * (m.Burst + l.Tolerance*toleranceGranted) / float64(n)
 	if share < 1 && l.chance() < share {
 		return 1
 	}
@@ -211,7 +211,7 @@
 	case now.Sub(l.began) < startFor:
 		n = (n + startShare - 1) / startShare
 	}
-	u.fill(now, m, n, l.Tolerance*toleranceKept)
+	u.fill(now, m, n, l.Tolerance*toleranceGranted)
 	if !u.within(now, m, n) {
 		return Verdict{Part: capRate / float64(n)}
 	}
@@ -241,7 +241,7 @@
 // is bounded.
 func (u *use) within(now time.Time, m Limit, n int) bool {
 	share := m.Rate / float64(n)
-	most := capLeast + burstKept*m.Burst/float64(n)
+	most := capLeast + burstGranted*m.Burst/float64(n)
 	if u.capped.IsZero() {
 		u.cap = most
 	}
--- a/internal/roster/totals.go
+++ b/internal/roster/totals.go
@@ -8,6 +8,25 @@
 	"lentilbend.example/internal/peerpb"
 )
 
+// What a coordinator keeps back of a limit.
+const (
+	// burstGranted is the part of a burst that a coordinator grants: one more may do
+	// so unseen when the fleet is cut.
+	burstGranted = 0.4
+	// toleranceGranted is the part of the tolerance that a coordinator grants, for the
+	// same reason.
+	toleranceGranted = 0.4
+	// overageKept is the part of the limits that is left unused for reports that
+	// are late.
+	overageKept = 0.1
+	// minority is the part of the VMs from which on the silent ones may be the
+	// larger side of a cut.
+	minority = 0.45
+	// unseenGrants is for how many seconds a rise in demand passes before the
+	// coordinators know it, about.
+	unseenGrants = 1.0
+)
+
 // total is what all VMs did of one workspace, as a coordinator knows it.
 type total struct {
 	level  float64
@@ -59,24 +78,6 @@
 	t.wanted += wanted
 }
 
-// spentPart is the part of the overage that is used while all VMs are heard; the
-// rest is for what passes before a rise in demand is known to all.
-const spentPart = 0.0
-
-// burstKept is the part of a burst that a coordinator grants: one more may do so
-// unseen when the fleet is cut.
-const burstKept = 0.4
-
-// toleranceKept is the part of the tolerance that a coordinator grants, for the
-// same reason.
-const toleranceKept = 0.4
-
-// spent is the part of the limits that passes beyond them while all VMs are
-// heard.
-func (l *Limits) spent() float64 {
-	return l.Overage * spentPart
-}
-
 // coordinate forgets what this VM knew when it was last a coordinator.
 func (l *Limits) coordinate(now time.Time) {
 	l.mu.Lock()
@@ -88,7 +89,7 @@
 
 // refill adds what the limit, scaled, gave since the last time.
 func (t *total) refill(now time.Time, m Limit, l *Limits) {
-	most := (m.Burst*burstKept + l.Tolerance*toleranceKept) * min(1, l.scale)
+	most := (m.Burst*burstGranted + l.Tolerance*toleranceGranted) * min(1, l.scale)
 	t.level = min(most, t.level+now.Sub(t.filled).Seconds()*m.Rate*l.scale)
 	t.filled = now
 }
@@ -131,18 +132,6 @@
 	return gs
 }
 
-// minority is the part of the VMs from which on the silent ones may be the
-// larger side of a cut.
-const minority = 0.45
-
-// unseenGrants is for how long a rise in demand passes before the coordinators
-// know it, about.
-const unseenGrants = 1.0
-
-// overageKept is the part of the limits that is left unused for reports that
-// are late.
-const overageKept = 0.1
-
 // factor returns by how much the limits are to be scaled while some VMs are
 // silent: those may live on, cut off, with an equal share each. The smaller side
 // of a cut takes no more than its own shares.
@@ -151,5 +140,5 @@
 	if kept >= minority {
 		return 1 - kept
 	}
-	return min(1+l.spent(), 1+l.Overage-overageKept-kept)
+	return min(1, 1+l.Overage-overageKept-kept)
 }
--- a/internal/roster/visit.go
+++ b/internal/roster/visit.go
@@ -24,8 +24,10 @@
 type visit struct {
 	to    netip.AddrPort
 	began time.Time
-	made  bool
-	turn  int
+	// made says that the report went out.
+	made bool
+	// turn counts the visits.
+	turn int
 }
 
 // strangers returns the VMs beside the coordinators to report to now: all seeds
@@ -42,8 +44,8 @@
 	return []netip.AddrPort{v.to}
 }
 
-// plan begins the next visit when it is due: to a seed or to a silent VM, in
-// turn.
+// plan begins the next visit when it is due: to a silent VM and to a seed in
+// turn, or to the one that there is.
 func (r *Roster) plan(now time.Time) {
 	v := &r.visit
 	every := visitEvery
@@ -54,16 +56,13 @@
 		return
 	}
 	v.began, v.made, v.to = now, false, netip.AddrPort{}
-	as, bs := r.lost(now), r.Seeds
-	if v.turn%2 == 1 || len(as) == 0 {
-		as, bs = bs, as
-	}
-	for _, as := range [][]netip.AddrPort{as, bs} {
-		as := slices.DeleteFunc(slices.Clone(as), func(a netip.AddrPort) bool {
+	ways := [][]netip.AddrPort{r.lost(now), r.Seeds}
+	for i := range ways {
+		as := slices.DeleteFunc(slices.Clone(ways[(v.turn+i)%len(ways)]), func(a netip.AddrPort) bool {
 			return a == r.Self.Address || slices.Contains(r.coordinators, a)
 		})
 		if len(as) > 0 {
-			v.to = as[v.turn/2%len(as)]
+			v.to = as[v.turn/len(ways)%len(as)]
 			break
 		}
 	}
