--- a/lentilbend/internal/serve/open_test.go
+++ b/lentilbend/internal/serve/open_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -108,12 +109,8 @@
 // ask sends a request and returns the status, the body and the header.
 func (v *vm) ask(method, path, key, id string) (int, string, http.Header) {
 	GinkgoHelper()
-	r, err := http.NewRequest(method, v.caller+path, http.NoBody)
+	r, err := platformtest.NewRequest(context.Background(), method, v.caller, path, key, id, 1500*time.Millisecond)
 	Expect(err).NotTo(HaveOccurred())
-	r.Host = "a.example"
-	r.Header.Set("X-Api-Key", key)
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "1500")
 	a, err := http.DefaultClient.Do(r)
 	Expect(err).NotTo(HaveOccurred())
 	defer a.Body.Close()
@@ -143,16 +140,16 @@
 		Consistently(v.isReady, "300ms").Should(BeFalse())
 		code, _, _ := v.ask("GET", "/look/1", "k1", "early")
 		Expect(code).To(Equal(503))
-		store.Put("servers/i-1", server.Entry("cat", "ready"))
-		store.Put("op/config", platformtest.Config(1, `"k1"`, 0))
+		store.Enter(server, false)
+		store.Configure(1, `"k1"`, 0)
 		Eventually(v.isReady, "3s").Should(BeTrue())
 		code, body, h := v.ask("GET", "/look/1", "k1", "id-1")
 		Expect(code).To(Equal(200))
 		Expect(body).To(Equal(server.Body("id-1")))
-		Expect(h.Get("Server-Signature")).To(Equal(server.Signature()))
+		Expect(platformtest.Signature(h)).To(Equal(server.Signature()))
 		Expect(server.Ran()).To(Equal([]string{"id-1 north"}))
 
-		store.Put("op/config", platformtest.Config(2, `"k2"`, 0))
+		store.Configure(2, `"k2"`, 0)
 		Eventually(func() int {
 			code, _, _ := v.ask("GET", "/look/1", "k1", "id-2")
 			return code
@@ -166,7 +163,7 @@
 		}
 		Eventually(func() []string { return v.log.lines("Platform lost.") }, "3s").ShouldNot(BeEmpty())
 		store.Fail("")
-		store.Put("servers/i-1", server.Entry("cat", "draining"))
+		store.Enter(server, true)
 		Eventually(func() int {
 			code, _, _ := v.ask("GET", "/look/1", "k2", "id-3")
 			return code
@@ -176,12 +173,12 @@
 
 	It("reads all anew when history is gone, and then knows what was removed meanwhile", func() {
 		store, server := newStore(), newServer("i-1")
-		store.Put("op/config", platformtest.Config(1, `"k1"`, 0))
-		store.Put("servers/i-1", server.Entry("cat", "ready"))
+		store.Configure(1, `"k1"`, 0)
+		store.Enter(server, false)
 		v := startVM("127.0.0.1", store.Address())
 		Eventually(v.isReady, "3s").Should(BeTrue())
 		store.Fail("forgotten")
-		store.Remove("servers/i-1")
+		store.Forget(server)
 		Eventually(func() int {
 			code, _, _ := v.ask("GET", "/look/1", "k1", "id-1")
 			return code
@@ -190,14 +187,14 @@
 
 	It("learns changes from a peer while the store turns it away", func() {
 		store, server := newStore(), newServer("i-1")
-		store.Put("op/config", platformtest.Config(1, `"k1"`, 0))
-		store.Put("servers/i-1", server.Entry("cat", "ready"))
+		store.Configure(1, `"k1"`, 0)
+		store.Enter(server, false)
 		a := startVM("127.0.0.1", store.Address())
 		Eventually(a.isReady, "3s").Should(BeTrue())
 		nowhere := free("127.0.0.1")
 		b := startVM("127.0.0.2", nowhere, a.peer)
 		Eventually(b.isReady, "5s").Should(BeTrue())
-		store.Put("op/config", platformtest.Config(2, `"k2"`, 0))
+		store.Configure(2, `"k2"`, 0)
 		Eventually(func() int {
 			code, _, _ := b.ask("GET", "/look/1", "k2", "id-1")
 			return code
@@ -206,8 +203,8 @@
 
 	It("explains three failed requests by its log alone", func() {
 		store, server := newStore(), newServer("i-1")
-		store.Put("op/config", platformtest.Config(1, `"k1"`, 2))
-		store.Put("servers/i-1", server.Entry("cat", "ready"))
+		store.Configure(1, `"k1"`, 2)
+		store.Enter(server, false)
 		v := startVM("127.0.0.1", store.Address())
 		Eventually(v.isReady, "3s").Should(BeTrue())
 		for i := range 20 {
@@ -217,7 +214,7 @@
 		}
 		Eventually(func() []string { return v.log.lines("Refused over the rate.", "id=over-", "workspace=north") }, "1s").ShouldNot(BeEmpty())
 
-		store.Put("op/config", platformtest.Config(2, `"k1"`, 0))
+		store.Configure(2, `"k1"`, 0)
 		Eventually(func() []string { return v.log.lines("Table accepted.", "revision=3") }, "2s").ShouldNot(BeEmpty())
 		server.Set("lost")
 		code, _, _ := v.ask("POST", "/buy/1", "k1", "lost-1")
@@ -239,7 +236,7 @@
 
 	It("goes on after SIGHUP", func() {
 		store := newStore()
-		store.Put("op/config", platformtest.Config(1, `"k1"`, 0))
+		store.Configure(1, `"k1"`, 0)
 		v := startVM("127.0.0.1", store.Address())
 		Eventually(v.isReady, "3s").Should(BeTrue())
 		v.process.Signals <- syscall.SIGHUP
--- a/standin/internal/soak/call.go
+++ b/standin/internal/soak/call.go
@@ -55,14 +55,10 @@
 	if unsafe {
 		method, path = http.MethodPost, "/buy/1"
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.Caller.String()+path, http.NoBody)
+	r, err := platformtest.NewRequest(ctx, method, "http://"+e.Caller.String(), path, key, id, callTimeout)
 	if err != nil {
 		return c
 	}
-	r.Host = "a.example"
-	r.Header.Set("X-Api-Key", key)
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	a, err := client.Do(r)
 	if err != nil {
 		return c
@@ -73,6 +69,6 @@
 		return c
 	}
 	c.status, c.body = a.StatusCode, strings.TrimSpace(string(b))
-	c.signature, c.echo = a.Header.Get("Server-Signature"), a.Header.Get("Request-Id")
+	c.signature, c.echo = platformtest.Signature(a.Header), platformtest.RequestID(a.Header)
 	return c
 }
--- a/standin/internal/soak/fault.go
+++ b/standin/internal/soak/fault.go
@@ -105,12 +105,12 @@
 // away takes a server's entry out of the store and puts it back.
 func (s *Soak) away(v *platformtest.Server) fault {
 	return fault{"entry of " + v.Name + " goes", func() error {
-		s.enter(v, "draining")
+		s.store.Enter(v, true)
 		time.Sleep(goneWithout)
-		s.store.Remove("servers/" + v.Name)
+		s.store.Forget(v)
 		return nil
 	}, func() error {
-		s.enter(v, "ready")
+		s.store.Enter(v, false)
 		return nil
 	}}
 }
--- a/standin/internal/soak/soak.go
+++ b/standin/internal/soak/soak.go
@@ -46,7 +46,6 @@
 	fleet   *fleet.Fleet
 	rand    *rand.Rand
 	began   time.Time
-	version int
 
 	mu    sync.Mutex
 	calls []call
@@ -82,12 +81,12 @@
 
 func (s *Soak) start(ctx context.Context) error {
 	s.store = platformtest.NewStore()
-	s.configure(northKeys)
+	s.store.Configure(1, northKeys, rate)
 	for i := range servers {
 		v := platformtest.NewServer(fmt.Sprintf("i-%d", i+1))
 		v.Work = work
 		s.servers = append(s.servers, v)
-		s.enter(v, "ready")
+		s.store.Enter(v, false)
 	}
 	s.fleet = &fleet.Fleet{Bin: s.Bin, Relays: true, Store: s.store.Address(), Seed: s.Seed, Settings: fleetSettings}
 	s.fleet.Deployment.Entries = slices.Repeat([]string{"z1"}, s.VMs)
@@ -117,15 +116,6 @@
 // northKeys are the keys of the workspace with a rate.
 const northKeys = `"north-key"`
 
-func (s *Soak) configure(keys string) {
-	s.version++
-	s.store.Put("op/config", platformtest.Config(s.version, keys, rate))
-}
-
-func (s *Soak) enter(v *platformtest.Server, state string) {
-	s.store.Put("servers/"+v.Name, v.Entry("cat", state))
-}
-
 // broken notes a broken promise.
 func (s *Soak) broken(format string, args ...any) {
 	s.mu.Lock()
