--- a/lentilbend/internal/backend/dialect_test.go
+++ b/lentilbend/internal/backend/dialect_test.go
@@ -1,14 +1,18 @@
 package backend_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"strings"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lentilbend.example/internal/table"
+
 	deployment "lentilbend.example/platform"
 
 	"lentilbend.example/lentilbend/internal/caller"
@@ -55,6 +59,42 @@
 		Expect(r.Header).NotTo(HaveKey("X-Forwarded-For"))
 	})
 
+	It("shows a key nowhere that stands in the request's name", func() {
+		s := newServer(says(signed("200 OK", "", "ok")))
+		e := newDeployed(s.address())
+		var lines bytes.Buffer
+		e.Config.Handler.(*caller.Handler).Logger = log.NewLogfmtLogger(&lines)
+		for _, id := range []string{goodKey, "a-" + goodKey + "-b", strings.Replace(goodKey, goodKey[:1], fmt.Sprintf("%%%02x", goodKey[0]), 1)} {
+			a, b := e.do("GET", "/read/1", "", "X-Api-Key", goodKey, "Request-Id", id, "Deadline-Ms", "2000")
+			Expect(a.StatusCode).To(Equal(http.StatusBadRequest))
+			Expect(b).NotTo(ContainSubstring(goodKey))
+		}
+		a, _ := e.do("GET", "/read/1", "", "X-Api-Key", "unknown-key", "Request-Id", "unknown-key", "Deadline-Ms", "2000")
+		Expect(a.StatusCode).To(Equal(http.StatusUnauthorized))
+		e.Config.Handler.(*caller.Handler).Table = func() *table.Table { return nil }
+		a, _ = e.do("GET", "/read/1", "", "X-Api-Key", goodKey, "Request-Id", goodKey, "Deadline-Ms", "2000")
+		Expect(a.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(s.runs()).To(BeZero())
+		Expect(lines.String()).To(ContainSubstring("Request was refused."))
+		Expect(lines.String()).NotTo(ContainSubstring(goodKey))
+		Expect(lines.String()).NotTo(ContainSubstring("unknown-key"))
+	})
+
+	It("refuses a request whose service is not in the table, and says so", func() {
+		s := newServer(says(signed("200 OK", "", "ok")))
+		e := newDeployed(s.address())
+		var lines bytes.Buffer
+		e.Config.Handler.(*caller.Handler).Logger = log.NewLogfmtLogger(&lines)
+		for i := range e.table.Routes {
+			e.table.Routes[i].Service = "gone"
+		}
+		e.table.Build()
+		a, b := e.ask("GET", "/read/1")
+		Expect(a.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(b).To(ContainSubstring("not-run"))
+		Expect(lines.String()).To(ContainSubstring("cause=no-server"))
+	})
+
 	DescribeTable("gives no success that is not the server's own",
 		func(answer string) {
 			s := newServer(saysAndCloses(answer))
--- a/lentilbend/internal/caller/handler.go
+++ b/lentilbend/internal/caller/handler.go
@@ -48,9 +48,7 @@
 		Received: time.Now(),
 		Table:    h.Table(),
 	}
-	if n := x.Spelling().RequestID; n != "" {
-		x.ID = r.Header.Get(n)
-	}
+	x.ID = name(x)
 	if h.leaving.Load() || chunked(r) {
 		w.Header()["Connection"] = closeConnection
 	}
@@ -67,6 +65,16 @@
 	h.Next.Serve(x)
 }
 
+// name returns the name of a request for logs; none where its key stands in it,
+// which the key filter refuses.
+func name(x *exchange.Exchange) string {
+	n := x.RequestName()
+	if k, ok := x.Spelling().Key(x.Request.Header); ok && exchange.NewSecret(k).In(n) {
+		return ""
+	}
+	return n
+}
+
 // note logs how an exchange ended that brought no answer of a backend server.
 func (h *Handler) note(x *exchange.Exchange) {
 	if x.Refused == nil && !x.Aborted {
@@ -79,7 +87,10 @@
 		kv = append(kv, "status", x.Status, "cause", x.Refused.Cause, "run", x.Refused.Run, "retryAfter", x.Refused.RetryAfter)
 	}
 	if x.Route != nil {
-		kv = append(kv, "kind", x.Route.Kind, "service", x.Service.Name, "left", time.Until(x.Deadline).Round(time.Millisecond))
+		kv = append(kv, "kind", x.Route.Kind, "left", time.Until(x.Deadline).Round(time.Millisecond))
+	}
+	if x.Service != nil {
+		kv = append(kv, "service", x.Service.Name)
 	}
 	if x.Workspace != nil {
 		kv = append(kv, "workspace", x.Workspace.Name)
--- a/lentilbend/internal/caller/metrics.go
+++ b/lentilbend/internal/caller/metrics.go
@@ -75,6 +75,10 @@
 	if x.Route != nil {
 		k.service, k.kind = x.Route.Service, x.Route.Kind
 	}
+	if x.Service != nil {
+		// A route may be split over several services.
+		k.service = x.Service.Name
+	}
 	if c, ok := m.series.Load(k); ok {
 		return c.(prometheus.Counter)
 	}
--- a/lentilbend/internal/exchange/exchange.go
+++ b/lentilbend/internal/exchange/exchange.go
@@ -65,6 +65,15 @@
 	return x.Dialect
 }
 
+// RequestName returns the name that the caller gave the request; empty for none.
+func (x *Exchange) RequestName() string {
+	n := x.Spelling().RequestID
+	if n == "" {
+		return ""
+	}
+	return x.Request.Header.Get(n)
+}
+
 // Handler serves an exchange.
 type Handler interface {
 	Serve(x *Exchange)
--- a/lentilbend/internal/filter/key/key.go
+++ b/lentilbend/internal/filter/key/key.go
@@ -34,7 +34,7 @@
 		})
 		return
 	}
-	if !Strip(x.Request, x.Secret, x.Spelling().Credentials) {
+	if x.Secret.In(x.RequestName()) || !Strip(x.Request, x.Secret, x.Spelling().Credentials) {
 		x.Refuse(exchange.Refusal{
 			Status: http.StatusBadRequest,
 			Run:    exchange.NotRun,
--- a/lentilbend/internal/relay/pack_test.go
+++ b/lentilbend/internal/relay/pack_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -61,11 +62,14 @@
 		Expect(g.Close()).To(Succeed())
 		for _, b := range [][]byte{{1, 2, 3}, bomb.Bytes(), bomb.Bytes()[:1000]} {
 			w, rs := fleet(2)
+			var asked atomic.Bool
 			w.answer(rs[1], func(context.Context) *peerpb.PullAnswer {
+				asked.Store(true)
 				return &peerpb.PullAnswer{Accepted: 9, Digest: 1, Packed: b}
 			})
 			rs[1].Store.ApplyPlatform(0, grow(""))
-			Consistently(func() uint64 { return rs[0].Store.Accepted().Revision }, 500*time.Millisecond).Should(BeZero())
+			Eventually(asked.Load, "6s").Should(BeTrue())
+			Consistently(func() uint64 { return rs[0].Store.Accepted().Revision }, 300*time.Millisecond).Should(BeZero())
 		}
 	})
 })
--- a/lentilbend/internal/serve/reload.go
+++ b/lentilbend/internal/serve/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -70,15 +71,14 @@
 	}
 }
 
-// needsRestart tells whether settings differ that only a start puts in force.
+// needsRestart tells whether settings differ that only a start puts in force:
+// all but those that reload takes.
 func needsRestart(o, n *settings.Settings) bool {
 	a, b := *o, *n
 	for _, s := range []*settings.Settings{&a, &b} {
 		s.Log.Level = ""
 		s.Peer.Seeds = nil
-		s.Fleet = settings.Fleet{}
-		s.Platform.Addresses = nil
+		s.Fleet.RateOverage, s.Fleet.RateTolerance = 0, 0
 	}
-	return a.DataCentre != b.DataCentre || a.Caller != b.Caller || a.Operator != b.Operator ||
-		a.Stop != b.Stop || a.Limits != b.Limits || a.Log != b.Log
+	return !reflect.DeepEqual(a, b)
 }
