--- a/lentilbend/internal/relay/pack_test.go
+++ b/lentilbend/internal/relay/pack_test.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -67,8 +68,8 @@
 				asked.Store(true)
 				return &peerpb.PullAnswer{Accepted: 9, Digest: 1, Packed: b}
 			})
-			rs[1].Store.ApplyPlatform(0, grow(""))
-			Eventually(asked.Load, "6s").Should(BeTrue())
+			rs[0].Receive(netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{Accepted: 9, Digest: 1}})
+			Eventually(asked.Load, "3s").Should(BeTrue())
 			Consistently(func() uint64 { return rs[0].Store.Accepted().Revision }, 300*time.Millisecond).Should(BeZero())
 		}
 	})
