--- /dev/null
+++ b/internal/roster/late_test.go
@@ -0,0 +1,61 @@
+package roster_test
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/internal/member"
+	"lentilbend.example/internal/peerpb"
+	"lentilbend.example/internal/roster"
+)
+
+var _ = Describe("what a VM granted before it first reported to a coordinator", func() {
+	const rate = 40.0
+	began := time.Unix(1_000_000, 0)
+	a := netip.MustParseAddrPort
+
+	// part returns what the coordinator lets pass after the first report of some
+	// VMs that granted 20 requests each.
+	part := func(uptime time.Duration) uint32 {
+		l := &roster.Limits{Overage: overage, Tolerance: tolerance}
+		r := &roster.Roster{Self: member.ID{Address: a("10.0.0.1:7"), Incarnation: 1}, Limits: l}
+		l.Count = func() (int, bool) { return r.Count(), true }
+		l.Set(map[uint64]roster.Limit{workspace: {Rate: rate, Burst: rate}})
+		r.Start(began)
+		now := began
+		for ; now.Sub(began) < 1500*time.Millisecond; now = now.Add(50 * time.Millisecond) {
+			r.Tick(now)
+		}
+		p := uint32(1000)
+		for i := range 6 {
+			id := member.ID{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(2 + i)}), 7), Incarnation: 1}
+			u := &peerpb.WorkspaceUse{Workspace: workspace, Wanted: 60, Granted: 20}
+			for range 2 {
+				ss := r.Receive(now, id, &peerpb.FleetReport{Number: 1, UptimeMillis: uint64(uptime.Milliseconds()), Uses: []*peerpb.WorkspaceUse{u}})
+				now = now.Add(20 * time.Millisecond)
+				u.Wanted += 20
+				for _, g := range ss[0].Answer.GetGrants() {
+					p = g.GetPart()
+				}
+			}
+		}
+		now = now.Add(300 * time.Millisecond)
+		for _, s := range r.Receive(now, member.ID{Address: a("10.0.0.2:7"), Incarnation: 1}, &peerpb.FleetReport{Number: 9, UptimeMillis: uint64(uptime.Milliseconds()) + 600}) {
+			for _, g := range s.Answer.GetGrants() {
+				p = g.GetPart()
+			}
+		}
+		return p
+	}
+
+	It("counts where the VM began of late", func() {
+		Expect(part(1500 * time.Millisecond)).To(BeNumerically("<", 50))
+	})
+
+	It("lies in the past where it did not", func() {
+		Expect(part(time.Minute)).To(BeNumerically(">", 50))
+	})
+})
--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -35,6 +35,9 @@
 	// youngFor is how long a process does not know yet what is asked of the
 	// fleet: two reports.
 	youngFor = 2 * reportEvery
+	// newFor is how long what a process did counts as of late: it hears most others
+	// within two seconds of its start.
+	newFor = 3 * time.Second
 	// unknownVMs stands for the size of a fleet of which nothing is heard yet.
 	unknownVMs = 8
 	// startFor is how long a process takes startShare equal shares: callers
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -165,8 +165,7 @@
 
 func (r *Roster) takeReport(now time.Time, from member.ID, q *peerpb.FleetReport) {
 	if r.Limits != nil {
-		young := time.Duration(q.GetUptimeMillis())*time.Millisecond < youngFor
-		r.Limits.report(now, from, young, q.GetUses())
+		r.Limits.report(now, from, time.Duration(q.GetUptimeMillis())*time.Millisecond, q.GetUses())
 	}
 }
 
--- a/internal/roster/totals.go
+++ b/internal/roster/totals.go
@@ -33,13 +33,12 @@
 	filled time.Time
 	// demand is in requests a second.
 	demand float64
-	wanted uint64
+	wanted float64
 	marked time.Time
 }
 
-// report takes the counts of a VM.
-// Those that a young process did before its first report here are of late.
-func (l *Limits) report(now time.Time, from member.ID, young bool, us []*peerpb.WorkspaceUse) {
+// report takes the counts of a VM that has been up for uptime.
+func (l *Limits) report(now time.Time, from member.ID, uptime time.Duration, us []*peerpb.WorkspaceUse) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, known := l.seen[from]
@@ -53,15 +52,30 @@
 		o := s[u.GetWorkspace()]
 		n := counts{wanted: max(o.wanted, u.GetWanted()), granted: max(o.granted, u.GetGranted())}
 		s[u.GetWorkspace()] = n
-		// What a VM did before it first reported here lies in the past.
-		if known || young {
-			l.add(now, u.GetWorkspace(), n.wanted-o.wanted, n.granted-o.granted)
+		switch {
+		case known:
+			l.add(now, u.GetWorkspace(), float64(n.wanted-o.wanted), float64(n.granted-o.granted))
+		case uptime < newFor:
+			l.addFirst(now, u.GetWorkspace(), n, uptime)
 		}
+		// Else what the VM did before lies in the past.
+	}
+}
+
+// addFirst counts what a process that began of late did before its first report
+// here. What it wanted came over its uptime, and its share of the limit gathered
+// meanwhile, also before this VM became a coordinator.
+func (l *Limits) addFirst(now time.Time, workspace uint64, c counts, uptime time.Duration) {
+	part := min(1, reportEvery.Seconds()/max(reportEvery, uptime).Seconds())
+	l.add(now, workspace, float64(c.wanted)*part, float64(c.granted))
+	n, _ := l.Count()
+	if t := l.totals[workspace]; t != nil {
+		t.level += max(0, uptime-now.Sub(l.since)).Seconds() * l.limits[workspace].Rate / float64(max(1, n))
 	}
 }
 
 // add counts requests of a workspace.
-func (l *Limits) add(now time.Time, workspace uint64, wanted, granted uint64) {
+func (l *Limits) add(now time.Time, workspace uint64, wanted, granted float64) {
 	m, ok := l.limits[workspace]
 	if !ok || m.Rate <= 0 {
 		return
@@ -74,7 +88,7 @@
 		l.totals[workspace] = t
 	}
 	t.refill(now, m, l)
-	t.level -= float64(granted)
+	t.level -= granted
 	t.wanted += wanted
 }
 
@@ -100,10 +114,10 @@
 	if d < reportEvery {
 		return
 	}
-	x := float64(t.wanted) / d.Seconds()
+	x := t.wanted / d.Seconds()
 	t.demand += demandWeight * (x - t.demand)
 	// A rise that is no chance counts at once.
-	sure := (float64(t.wanted) - rareDeviations*math.Sqrt(float64(t.wanted))) / d.Seconds()
+	sure := (t.wanted - rareDeviations*math.Sqrt(t.wanted)) / d.Seconds()
 	t.demand = max(t.demand, sure)
 	t.wanted, t.marked = 0, now
 }
--- a/lentilbend/internal/serve/fleet.go
+++ b/lentilbend/internal/serve/fleet.go
@@ -12,9 +12,10 @@
 	"lentilbend.example/lentilbend/internal/platform"
 )
 
-// buildFleet makes the streams to the other entry VMs and the membership. The
-// incarnation is the wall clock's, so that a later process has a greater one.
-func (p *Process) buildFleet() {
+// buildHub makes the streams to the other entry VMs and returns who this process
+// is to them. The incarnation is the wall clock's, so that a later process has a
+// greater one.
+func (p *Process) buildHub() member.ID {
 	s := p.Settings
 	id := member.ID{Address: s.Peer.Address, Incarnation: uint64(time.Now().UnixNano())}
 	p.hub = &peer.Hub{
@@ -23,6 +24,13 @@
 		Settings:   s.Peer,
 		Logger:     p.root.Part("peer"),
 	}
+	return id
+}
+
+// buildFleet makes the streams to the other entry VMs and the membership.
+func (p *Process) buildFleet() {
+	s := p.Settings
+	id := p.buildHub()
 	p.fleet = &fleet.Fleet{
 		Node: &member.Node{
 			Self:       id,
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -10,7 +10,6 @@
 
 	"lentilbend.example/internal/choice"
 	"lentilbend.example/internal/event"
-	"lentilbend.example/internal/member"
 	"lentilbend.example/internal/roster"
 	"lentilbend.example/internal/table"
 	deployment "lentilbend.example/platform"
@@ -58,7 +57,7 @@
 	BackoffMax:  time.Second,
 }
 
-// open tells whether the platform lists no VMs, so that the parts of this file
+// isOpen tells whether the platform lists no VMs, so that the parts of this file
 // stand in for the membership with promises.
 func (p *Process) isOpen() bool {
 	return p.Settings.Platform.Form == settings.FormStore
@@ -67,14 +66,8 @@
 // buildOpenFleet makes the streams to the other entry VMs and the roster.
 func (p *Process) buildOpenFleet() {
 	s := p.Settings
-	id := member.ID{Address: s.Peer.Address, Incarnation: uint64(time.Now().UnixNano())}
-	p.hub = &peer.Hub{
-		Self:       id,
-		DataCentre: s.DataCentre,
-		Settings:   s.Peer,
-		Logger:     p.root.Part("peer"),
-		Times:      peerTimes,
-	}
+	id := p.buildHub()
+	p.hub.Times = peerTimes
 	p.workspaces = &roster.Limits{
 		Overage:   s.Fleet.RateOverage,
 		Tolerance: s.Fleet.RateTolerance,
--- a/standin/internal/soak/check.go
+++ b/standin/internal/soak/check.go
@@ -59,14 +59,20 @@
 // may.
 func (s *Soak) checkRate(at []time.Time) {
 	slices.SortFunc(at, time.Time.Compare)
-	j := 0
+	j, greatest, from := 0, 0, 0
 	for i := range at {
 		for at[i].Sub(at[j]) >= window {
 			j++
 		}
-		if n := i - j + 1; float64(n) > most {
-			s.broken("%d requests of a workspace ran in %s from %s; %v may", n, window, at[j].Sub(s.began), most)
-			return
+		if n := i - j + 1; n > greatest {
+			greatest, from = n, j
 		}
 	}
+	if greatest == 0 {
+		return
+	}
+	s.tell("%d requests of a workspace ran in %s from %s; %v may", greatest, window, at[from].Sub(s.began), most)
+	if float64(greatest) > most {
+		s.broken("%d requests of a workspace ran in %s from %s; %v may", greatest, window, at[from].Sub(s.began), most)
+	}
 }
--- a/standin/internal/soak/soak_test.go
+++ b/standin/internal/soak/soak_test.go
@@ -26,9 +26,13 @@
 	return otherwise
 }
 
-// failed are seeds that once broke a promise.
-var failed = []uint64{
-	14, // a stop within a millisecond of the start ended the process without its doing
+// failed are plays that once broke a promise.
+var failed = []struct {
+	seed uint64
+	vms  int
+}{
+	{14, 5},   // a stop within a millisecond of the start ended the process without its doing
+	{103, 24}, // what VMs granted before a coordinator first heard them was not counted
 }
 
 var _ = Describe("entry VMs under faults", Ordered, func() {
@@ -42,9 +46,9 @@
 		Expect(err).NotTo(HaveOccurred(), string(b))
 	})
 
-	play := func(seed uint64) {
+	play := func(seed uint64, vms int) {
 		GinkgoHelper()
-		s := &Soak{Bin: bin, Seed: seed, VMs: number("SOAK_VMS", 5), For: time.Duration(number("SOAK_SECONDS", 6)) * time.Second}
+		s := &Soak{Bin: bin, Seed: seed, VMs: vms, For: time.Duration(number("SOAK_SECONDS", 6)) * time.Second}
 		s.Log = func(t string) { GinkgoWriter.Println(t) }
 		broken, err := s.Run(context.Background())
 		Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
@@ -53,15 +57,15 @@
 	}
 
 	It("keep their promises with the seeds that once broke one", func() {
-		for _, seed := range failed {
-			play(seed)
+		for _, f := range failed {
+			play(f.seed, f.vms)
 		}
 	})
 
 	It("keep their promises", func() {
 		first := number("SOAK_FIRST", 1)
 		for seed := range number("SOAK_SEEDS", 2) {
-			play(uint64(first + seed))
+			play(uint64(first+seed), number("SOAK_VMS", 5))
 		}
 	})
 })
