End the wait after a failed read when this VM must read for itself

Callers could be handled by an older configuration on a VM whose read of the store had failed once: it then slept for up to 1.2 s and an eighth of a second for each live VM (17.6 s with 141), even if it became a designated reader meanwhile, was cut off from all other VMs, or relied on a peer that stopped reading.

The wait is now evaluated every 50 ms by the present role and the present number of live VMs, and ends once a peer is known to read, so that a later takeover has its usual delay.

--- a/lentilbend/internal/platform/watcher.go
+++ b/lentilbend/internal/platform/watcher.go
@@ -38,10 +38,10 @@
 	watcherMinBackoff = 150 * time.Millisecond
 	watcherMaxBackoff = 1200 * time.Millisecond
 	// takeoverReadRate is the target rate, per second, of the reads of all VMs
-	// that are not designated readers while no peer is known to read.
-	// takeoverDelay spreads the reads accordingly.
+	// that are not designated readers while no peer is known to read. The reads are
+	// spread over takeoverPeriod accordingly.
 	takeoverReadRate = 8.0
-	// maxFirstReadDelay bounds takeoverDelay before such a VM's first read after
+	// maxFirstReadDelay bounds the random delay before such a VM's first read after
 	// it relied on peers, since it may be the only one that receives no
 	// announcements.
 	maxFirstReadDelay = 300 * time.Millisecond
@@ -115,7 +115,7 @@
 			// The VM with the shortest random delay reads first and announces
 			// its read, so that most others need not read.
 			reliedOnPeers = false
-			timer.Sleep(ctx, min(w.takeoverDelay(rnd), maxFirstReadDelay))
+			timer.Sleep(ctx, min(time.Duration(rnd.Float64()*float64(w.takeoverPeriod())), maxFirstReadDelay))
 			continue
 		}
 		reliedOnPeers = false
@@ -130,7 +130,7 @@
 		if ok {
 			continue
 		}
-		timer.Sleep(ctx, w.retryDelay(rnd))
+		reliedOnPeers = w.waitToRetry(ctx, rnd)
 	}
 	return nil
 }
@@ -147,19 +147,33 @@
 	return ok && d < maxPeerReadAge
 }
 
-// retryDelay returns the delay after a failed read.
-func (w *Watcher) retryDelay(rnd *rand.Rand) time.Duration {
-	d := w.backoff.Next(rnd)
-	if w.IsReader() || w.Store.Table() == nil {
-		return d
+// waitToRetry waits after a failed read until the backoff has passed, and unless
+// this VM is a designated reader also its random part of takeoverPeriod. Both are
+// evaluated anew during the wait: this VM may become a reader or lose its peers. It
+// returns early, and true, once this VM can rely on peers.
+func (w *Watcher) waitToRetry(ctx context.Context, rnd *rand.Rand) bool {
+	failedAt := time.Now()
+	backoff := w.backoff.Next(rnd)
+	part := rnd.Float64()
+	for timer.Sleep(ctx, peerReadCheckPeriod/2) {
+		if w.canRelyOnPeers() {
+			return true
+		}
+		d := backoff
+		if !w.IsReader() && w.Store.Table() != nil {
+			d += time.Duration(part * float64(w.takeoverPeriod()))
+		}
+		if time.Since(failedAt) >= d {
+			break
+		}
 	}
-	return d + w.takeoverDelay(rnd)
+	return false
 }
 
-// takeoverDelay returns a random delay, at most the time in which all live VMs
-// send one read each at takeoverReadRate.
-func (w *Watcher) takeoverDelay(rnd *rand.Rand) time.Duration {
-	return time.Duration(rnd.Float64() * float64(w.LiveVMCount()) / takeoverReadRate * float64(time.Second))
+// takeoverPeriod returns the time in which all live VMs send one read each at
+// takeoverReadRate.
+func (w *Watcher) takeoverPeriod() time.Duration {
+	return time.Duration(float64(w.LiveVMCount()) / takeoverReadRate * float64(time.Second))
 }
 
 // readOnce reads the platform once. It reports whether the read succeeded and
--- a/lentilbend/internal/platform/watcher_test.go
+++ b/lentilbend/internal/platform/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -32,6 +33,12 @@
 	return &platformpb.ValuesAnswer{Revision: 1}, s.err
 }
 
+func (s *fakeSource) setError(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
 func (s *fakeSource) All(context.Context) (*platformpb.ValuesAnswer, error) { return s.read() }
 
 func (s *fakeSource) Changes(ctx context.Context, _ uint64, wait time.Duration) (*platformpb.ValuesAnswer, error) {
@@ -52,6 +59,10 @@
 // startWatcher runs the watcher of a VM that has a table and is not a designated
 // reader.
 func startWatcher(s *fakeSource, vms int, peerReadAge func() (time.Duration, bool)) *platform.Watcher {
+	return startWatcherOf(newStoreWithTable(), s, vms, peerReadAge)
+}
+
+func newStoreWithTable() *store.Store {
 	t := newEmptyStore()
 	t.ApplyPlatform(0, &platformpb.ValuesAnswer{Revision: 1, Values: []*platformpb.Value{
 		{Name: "DataCentres", Revision: 1, Text: "DataCentre = []"},
@@ -59,7 +70,7 @@
 		{Name: "Workspaces", Revision: 1, Text: "Workspace = []"},
 	}})
 	Expect(t.Table()).NotTo(BeNil())
-	return startWatcherOf(t, s, vms, peerReadAge)
+	return t
 }
 
 func newEmptyStore() *store.Store {
@@ -69,7 +80,16 @@
 // startWatcherOf runs the watcher of a VM that just started and is not a designated
 // reader.
 func startWatcherOf(t *store.Store, s *fakeSource, vms int, peerReadAge func() (time.Duration, bool)) *platform.Watcher {
-	w := &platform.Watcher{
+	w := newWatcher(t, s, peerReadAge)
+	w.LiveVMCount = func() int { return vms }
+	runWatcher(w)
+	return w
+}
+
+// newWatcher returns the watcher of a VM that just started, is not a designated
+// reader and hears no other VM.
+func newWatcher(t *store.Store, s *fakeSource, peerReadAge func() (time.Duration, bool)) *platform.Watcher {
+	return &platform.Watcher{
 		Source:           s,
 		Store:            t,
 		Logger:           log.NewNopLogger(),
@@ -77,17 +97,82 @@
 		IsReader:         func() bool { return false },
 		OnRead:           func() {},
 		PeerReadAge:      peerReadAge,
-		LiveVMCount:      func() int { return vms },
+		LiveVMCount:      func() int { return 1 },
 		ProcessStart:     time.Now(),
 		InitialWait:      400 * time.Millisecond,
 	}
+}
+
+// runWatcher runs a watcher until the spec ends.
+func runWatcher(w *platform.Watcher) {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	go func() { _ = w.Run(ctx) }()
-	return w
 }
 
 var _ = Describe("Watcher", func() {
+	// Guards against a VM that keeps waiting after a failed read although no other VM
+	// can read the platform for it any longer, so that a change is in force too late.
+	Describe("after a failed read in a large fleet", func() {
+		var ws []*platform.Watcher
+		var ss []*fakeSource
+		var reader atomic.Bool
+		var live atomic.Int64
+		var peersRead atomic.Bool
+
+		BeforeEach(func() {
+			ws, ss = nil, nil
+			reader.Store(false)
+			peersRead.Store(false)
+			live.Store(141)
+			for range 20 {
+				s := &fakeSource{err: errors.New("platform is unreachable")}
+				w := newWatcher(newStoreWithTable(), s, func() (time.Duration, bool) {
+					return 0, peersRead.Load()
+				})
+				w.IsReader = reader.Load
+				w.LiveVMCount = func() int { return int(live.Load()) }
+				runWatcher(w)
+				ws, ss = append(ws, w), append(ss, s)
+			}
+			for _, s := range ss {
+				Eventually(s.Calls, "1s").Should(BeNumerically(">", 0))
+			}
+			// All have failed by now, and most of them wait for several seconds.
+			time.Sleep(100 * time.Millisecond)
+			for _, s := range ss {
+				s.setError(nil)
+			}
+		})
+
+		expectReads := func(within time.Duration) {
+			deadline := time.Now().Add(within)
+			for _, w := range ws {
+				Eventually(func() bool {
+					_, ok := w.ReadAge(time.Now())
+					return ok
+				}).WithTimeout(time.Until(deadline)).Should(BeTrue())
+			}
+		}
+
+		It("reads as soon as its backoff allows once it is a designated reader", func() {
+			reader.Store(true)
+			expectReads(1500 * time.Millisecond)
+		})
+
+		It("reads as soon as its backoff allows once it hears no other VM", func() {
+			live.Store(1)
+			expectReads(1500 * time.Millisecond)
+		})
+
+		It("takes over within 600 ms after it relied on a peer meanwhile", func() {
+			peersRead.Store(true)
+			time.Sleep(200 * time.Millisecond)
+			peersRead.Store(false)
+			expectReads(600 * time.Millisecond)
+		})
+	})
+
 	It("reads nothing while a peer is known to read", func() {
 		s := &fakeSource{}
 		startWatcher(s, 18, func() (time.Duration, bool) { return time.Second, true })
@@ -125,9 +210,7 @@
 			_, ok := w.ReadAge(time.Now())
 			return ok
 		}, "2s").Should(BeTrue())
-		s.mu.Lock()
-		s.err = errors.New("platform is unreachable")
-		s.mu.Unlock()
+		s.setError(errors.New("platform is unreachable"))
 		n := s.Calls()
 		Eventually(func() bool {
 			_, ok := w.ReadAge(time.Now())
