Log where a table came from and export the age of the newest read

A late change could not be told from an old table of a peer, or from a VM that relied on old reads: the log named the revision only, and no metric gave the age of reads.

Adds the source to "Table accepted.", the metrics lentilbend_platform_read_age_seconds and lentilbend_platform_takeovers_total, and a debug line for each takeover.

--- a/lentilbend/internal/platform/watcher.go
+++ b/lentilbend/internal/platform/watcher.go
@@ -94,9 +94,10 @@
 	unreachable      bool
 	unreachableSince time.Time
 
-	lastRead atomic.Pointer[time.Time]
-	reading  atomic.Bool
-	failures atomic.Uint64
+	lastRead  atomic.Pointer[time.Time]
+	reading   atomic.Bool
+	failures  atomic.Uint64
+	takeovers atomic.Uint64
 }
 
 // Run reads until ctx ends.
@@ -116,6 +117,9 @@
 			// its read, so that most others need not read.
 			reliedOnPeers = false
 			timer.Sleep(ctx, min(time.Duration(rnd.Float64()*float64(w.takeoverPeriod())), maxFirstReadDelay))
+			if !w.canRelyOnPeers() {
+				w.recordTakeover()
+			}
 			continue
 		}
 		reliedOnPeers = false
@@ -212,6 +216,13 @@
 	return true, len(a.GetValues()) > 0
 }
 
+// recordTakeover records that this VM starts to read since no peer is known to.
+func (w *Watcher) recordTakeover() {
+	w.takeovers.Add(1)
+	age, known := w.PeerReadAge()
+	_ = level.Debug(w.Logger).Log("msg", "No peer is known to read the platform; reading it.", "revision", w.Store.Accepted().Revision, "known", known, "age", age)
+}
+
 func (w *Watcher) recordFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -256,11 +267,14 @@
 	// Calls and Failures count the calls of Source and the failed reads.
 	Calls    uint64
 	Failures uint64
+	// Takeovers counts how often this VM started to read because no peer was known
+	// to.
+	Takeovers uint64
 }
 
 // Dump returns the watcher's state.
 func (w *Watcher) Dump() any {
-	s := WatcherState{Reading: w.reading.Load(), Calls: w.Source.Calls(), Failures: w.failures.Load()}
+	s := WatcherState{Reading: w.reading.Load(), Calls: w.Source.Calls(), Failures: w.failures.Load(), Takeovers: w.takeovers.Load()}
 	if t := w.lastRead.Load(); t != nil {
 		s.LastRead = *t
 	}
@@ -278,5 +292,9 @@
 			Name: "lentilbend_platform_read_failures_total",
 			Help: "Reads of the platform that failed.",
 		}, func() float64 { return float64(w.failures.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "lentilbend_platform_takeovers_total",
+			Help: "Times that this VM started to read the platform because no peer was known to.",
+		}, func() float64 { return float64(w.takeovers.Load()) }),
 	)
 }
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"lentilbend.example/internal/event"
 	"lentilbend.example/internal/peerpb"
@@ -328,6 +330,20 @@
 	}
 }
 
+// Register adds the relay's metrics.
+func (r *Relay) Register(m prometheus.Registerer) {
+	m.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lentilbend_platform_read_age_seconds",
+		Help: "Time since this VM or a peer last read the platform up to an accepted revision; NaN if unknown.",
+	}, func() float64 {
+		d, ok := r.LastReadAge()
+		if !ok {
+			return math.NaN()
+		}
+		return d.Seconds()
+	}))
+}
+
 // Dump returns the last announcement of each peer.
 func (r *Relay) Dump() any {
 	r.mu.Lock()
--- a/lentilbend/internal/serve/config.go
+++ b/lentilbend/internal/serve/config.go
@@ -42,6 +42,7 @@
 		p.buildWatcher()
 		p.relay.PullTimeout = pullTimeout
 		p.relay.ReadAge = p.watcher.ReadAge
+		p.relay.Register(p.registry)
 		p.relay.ForwardsReads = func() bool { return p.openFleet.State().Coordinates && !p.readsStore() }
 		return
 	}
--- a/lentilbend/internal/store/store.go
+++ b/lentilbend/internal/store/store.go
@@ -15,6 +15,12 @@
 	"lentilbend.example/internal/table"
 )
 
+// Sources of a snapshot, as logged.
+const (
+	sourcePlatform = "platform"
+	sourcePeer     = "peer"
+)
+
 // Store holds the accepted table and the values it was parsed from. Set the
 // exported fields before use.
 type Store struct {
@@ -101,7 +107,7 @@
 		return
 	}
 	s.newest = n
-	s.acceptIfValid(n)
+	s.acceptIfValid(n, sourcePlatform)
 }
 
 // ApplyChanges applies changes from a platform that counts one revision over all
@@ -116,7 +122,7 @@
 	}
 	n := s.newest.withChanges(a.GetRevision(), a.GetValues())
 	s.newest = n
-	s.acceptIfValid(n)
+	s.acceptIfValid(n, sourcePlatform)
 }
 
 // ApplyPeer applies a peer's accepted version v, given its values changed after
@@ -142,7 +148,7 @@
 	if n.version() != v {
 		return false
 	}
-	s.acceptIfValid(n)
+	s.acceptIfValid(n, sourcePeer)
 	if n.revision > s.newest.revision {
 		s.newest = n
 	}
@@ -150,8 +156,8 @@
 }
 
 // acceptIfValid parses a snapshot and accepts it if it is valid and not older
-// than the accepted one. mu must be held.
-func (s *Store) acceptIfValid(n snapshot) {
+// than the accepted one. source is logged. mu must be held.
+func (s *Store) acceptIfValid(n snapshot, source string) {
 	parse := s.Parse
 	if parse == nil {
 		parse = table.Parse
@@ -166,7 +172,7 @@
 	}
 	s.accepted = n
 	s.table.Store(t)
-	_ = level.Info(s.Logger).Log("msg", "Table accepted.", "revision", n.revision)
+	_ = level.Info(s.Logger).Log("msg", "Table accepted.", "revision", n.revision, "source", source)
 	s.pendingEvents = append(s.pendingEvents, event.TableAccepted{Revision: n.revision})
 }
 
