Date the reads of peers by what their frames acknowledge

Callers could be handled by an older configuration than allowed while VMs relied on peers that no longer read the store: a peer's read was dated as the time of arrival less the announced age. Time on a narrow link, in a queue of either VM, or in which this VM was paused was not counted, and each VM that passed the age on added its own error.

The hub now tells handlers a time after which a frame was sent: when this VM sent the newest frame that it acknowledges, or opened the stream. The relay dates a read by that time, so an error only makes it look older, over any number of hops. A frame keeps the acknowledgement of the moment its first message was queued. After a pause the known reads are forgotten until a frame acknowledges one that was sent after it.

The four specs of relay "the age of a peer's read" failed with the date of arrival and pass now. The specs of the hub's times are of a new interface.

--- a/lentilbend/internal/fleet/fleet.go
+++ b/lentilbend/internal/fleet/fleet.go
@@ -133,7 +133,7 @@
 }
 
 // Handle passes the Hello and the membership messages of a frame to the node.
-func (f *Fleet) Handle(now time.Time, from member.ID, m *peerpb.Frame) {
+func (f *Fleet) Handle(now, _ time.Time, from member.ID, m *peerpb.Frame) {
 	if h := m.GetHello(); h != nil {
 		f.step(func(now time.Time) []member.Envelope { return f.Node.HandleConnect(now, from, h.GetDataCentre()) })
 	}
--- a/lentilbend/internal/fleet/fleet_test.go
+++ b/lentilbend/internal/fleet/fleet_test.go
@@ -58,7 +58,7 @@
 			a := &peerpb.MemberMessage{
 				Request: m.GetRequest(), Grant: m.GetRequest(), Probe: m.GetProbe(), Digest: 1, HasView: true,
 			}
-			f.Handle(time.Now(), other, &peerpb.Frame{Member: []*peerpb.MemberMessage{a}})
+			f.Handle(time.Now(), time.Now(), other, &peerpb.Frame{Member: []*peerpb.MemberMessage{a}})
 		}
 	}
 }
@@ -96,7 +96,7 @@
 	It("counts a VM that requests a lease, and grants the lease", func() {
 		f, t := newFleet()
 		m := &peerpb.MemberMessage{Request: 3}
-		f.Handle(time.Now(), other, &peerpb.Frame{Member: []*peerpb.MemberMessage{m}})
+		f.Handle(time.Now(), time.Now(), other, &peerpb.Frame{Member: []*peerpb.MemberMessage{m}})
 		Expect(f.Share(time.Now()).Count).To(Equal(2))
 		Expect(t.messages()).To(ContainElement(HaveField("Grant", uint64(3))))
 	})
--- a/lentilbend/internal/limiter/limiter.go
+++ b/lentilbend/internal/limiter/limiter.go
@@ -139,7 +139,7 @@
 }
 
 // Handle passes the limit messages of a frame to the limits.
-func (l *Limiter) Handle(now time.Time, from member.ID, f *peerpb.Frame) {
+func (l *Limiter) Handle(now, _ time.Time, from member.ID, f *peerpb.Frame) {
 	for _, m := range f.GetLimit() {
 		l.checkClock(now)
 		l.fleet.Receive(now, from, m)
--- a/lentilbend/internal/openfleet/openfleet.go
+++ b/lentilbend/internal/openfleet/openfleet.go
@@ -160,7 +160,7 @@
 }
 
 // Handle passes the reports and answers in a frame to the roster.
-func (f *Fleet) Handle(_ time.Time, from member.ID, m *peerpb.Frame) {
+func (f *Fleet) Handle(_, _ time.Time, from member.ID, m *peerpb.Frame) {
 	for _, q := range m.GetReports() {
 		f.runStep(func(now time.Time) []roster.Envelope { return f.Roster.ReceiveReport(now, from, q) })
 	}
--- a/lentilbend/internal/peer/accept.go
+++ b/lentilbend/internal/peer/accept.go
@@ -81,7 +81,7 @@
 	s.hub.mu.Unlock()
 	ctx, cancel := context.WithCancel(x.Context())
 	defer cancel()
-	return s.hub.runStream(ctx, cancel, l, from, f, x)
+	return s.hub.runStream(ctx, newStream(from, x.Send, cancel, time.Time{}), l, f, x)
 }
 
 // authorize returns the caller's IP, or a PermissionDenied error if that IP is
@@ -128,11 +128,10 @@
 }
 
 // runStream sends and receives frames on an open stream until it ends.
-func (h *Hub) runStream(ctx context.Context, cancel context.CancelFunc, l *link, from member.ID, first *peerpb.Frame, x frameStream) error {
-	s := &stream{from: from, send: x.Send, cancel: cancel, wake: make(chan struct{}, 1)}
+func (h *Hub) runStream(ctx context.Context, s *stream, l *link, first *peerpb.Frame, x frameStream) error {
 	l.attach(s)
 	defer l.detach(s)
-	h.dispatch(from, first)
+	h.dispatch(s, first)
 	go s.writeFrames(ctx, &h.counters)
 	ended := make(chan error, 1)
 	go func() { ended <- h.readFrames(s, x) }()
@@ -153,28 +152,28 @@
 		h.counters.receivedFrames.Add(1)
 		s.recordFrame(time.Now(), f)
 		if !hasNoMessages(f) {
-			h.dispatch(s.from, f)
+			h.dispatch(s, f)
 		}
 	}
 }
 
-func (h *Hub) dispatch(from member.ID, f *peerpb.Frame) {
-	now := time.Now()
+func (h *Hub) dispatch(s *stream, f *peerpb.Frame) {
+	now, sentAfter := time.Now(), s.lastSentAfter()
 	for _, x := range h.Handlers {
-		h.handle(x, now, from, f)
+		h.handle(x, now, sentAfter, s.from, f)
 	}
 }
 
 // handle passes a frame to a handler. A panic drops the frame: one message must not
 // end the process, since a peer would send it to the next process too.
-func (h *Hub) handle(x Handler, now time.Time, from member.ID, f *peerpb.Frame) {
+func (h *Hub) handle(x Handler, now, sentAfter time.Time, from member.ID, f *peerpb.Frame) {
 	defer func() {
 		if v := recover(); v != nil {
 			h.counters.panics.Add(1)
 			_ = level.Error(h.Logger).Log("msg", "A frame of a peer was dropped after a panic.", "peer", from.Address, "panic", v, "stack", string(debug.Stack()))
 		}
 	}()
-	x.Handle(now, from, f)
+	x.Handle(now, sentAfter, from, f)
 }
 
 // watchStreams periodically cancels silent streams and sends acknowledgements
--- a/lentilbend/internal/peer/dial.go
+++ b/lentilbend/internal/peer/dial.go
@@ -118,6 +118,7 @@
 	defer cancel()
 	dialTimer := time.AfterFunc(h.Timing.DialTimeout, cancel)
 	defer dialTimer.Stop()
+	opened := time.Now()
 	x, err := peerpb.NewPeerClient(c).Exchange(ctx)
 	if err != nil {
 		return err
@@ -139,5 +140,5 @@
 	if !dialTimer.Stop() {
 		return context.DeadlineExceeded
 	}
-	return h.runStream(ctx, cancel, l, from, f, x)
+	return h.runStream(ctx, newStream(from, x.Send, cancel, opened), l, f, x)
 }
--- a/lentilbend/internal/peer/hub.go
+++ b/lentilbend/internal/peer/hub.go
@@ -33,8 +33,10 @@
 // Handler processes the frames received from all peers. Calls for one stream are
 // sequential; calls for different streams may be concurrent.
 type Handler interface {
-	// Handle must not retain the slices of f.
-	Handle(now time.Time, from member.ID, f *peerpb.Frame)
+	// Handle processes a frame received at now. The peer enqueued its messages after
+	// sentAfter, a time on this VM's clock that is zero if unknown. Handle must not
+	// retain the slices of f.
+	Handle(now, sentAfter time.Time, from member.ID, f *peerpb.Frame)
 }
 
 // Hub maintains the streams to all peers. Set the exported fields before Run.
--- a/lentilbend/internal/peer/hub_test.go
+++ b/lentilbend/internal/peer/hub_test.go
@@ -23,7 +23,7 @@
 type blockingHandler chan struct{}
 
 // Handle blocks until the channel is closed.
-func (h blockingHandler) Handle(_ time.Time, _ member.ID, f *peerpb.Frame) {
+func (h blockingHandler) Handle(_, _ time.Time, _ member.ID, f *peerpb.Frame) {
 	if f.GetHello() == nil {
 		<-h
 	}
@@ -33,7 +33,7 @@
 type panickingHandler struct{}
 
 // Handle panics.
-func (panickingHandler) Handle(time.Time, member.ID, *peerpb.Frame) {
+func (panickingHandler) Handle(time.Time, time.Time, member.ID, *peerpb.Frame) {
 	panic("unexpected")
 }
 
@@ -52,10 +52,12 @@
 	requests []uint64
 	// hellos are the senders of the received frames with Hello.
 	hellos []member.ID
+	// sentAfter are the times after which the member messages were sent.
+	sentAfter map[uint64]time.Time
 }
 
 // Handle records the request numbers of a frame, and the sender of a Hello.
-func (n *node) Handle(_ time.Time, from member.ID, f *peerpb.Frame) {
+func (n *node) Handle(_, sentAfter time.Time, from member.ID, f *peerpb.Frame) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if f.GetHello() != nil {
@@ -63,6 +65,10 @@
 	}
 	for _, m := range f.GetMember() {
 		n.requests = append(n.requests, m.GetRequest())
+		if n.sentAfter == nil {
+			n.sentAfter = map[uint64]time.Time{}
+		}
+		n.sentAfter[m.GetRequest()] = sentAfter
 	}
 }
 
@@ -72,6 +78,13 @@
 	return append([]uint64(nil), n.requests...)
 }
 
+// sentAfterOf returns the time after which a received request number was sent.
+func (n *node) sentAfterOf(number uint64) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sentAfter[number]
+}
+
 func (n *node) helloSenders() []member.ID {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -182,6 +195,43 @@
 		Expect(a.hub.Counters().SentFrames).To(BeNumerically("<=", 1000))
 	})
 
+	It("tells a time after which a frame was sent, however late it arrives", func() {
+		l, h := freeAddressPair()
+		stall := make(chan struct{})
+		a := startNode(l, 1)
+		b := startNode(h, 2, func(h *peer.Hub) {
+			h.Handlers = append([]peer.Handler{blockingHandler(stall)}, h.Handlers...)
+			h.Timing.SilenceTimeout = 5 * time.Second
+		})
+		connectNodes(a, b)
+		Expect(b.send(l, 1)).To(BeTrue())
+		Eventually(a.receivedRequests, eventualTimeout).Should(Equal([]uint64{1}))
+		// The first message stalls b; the second one is read much later.
+		Expect(a.send(h, 1)).To(BeTrue())
+		time.Sleep(50 * time.Millisecond)
+		Expect(a.send(h, 2)).To(BeTrue())
+		sent := time.Now()
+		time.Sleep(200 * time.Millisecond)
+		Expect(b.send(l, 2)).To(BeTrue())
+		time.Sleep(100 * time.Millisecond)
+		close(stall)
+		Eventually(b.receivedRequests, eventualTimeout).Should(Equal([]uint64{1, 2}))
+		Expect(b.sentAfterOf(2)).To(BeTemporally("<=", sent))
+	})
+
+	It("tells a recent time while frames go both ways", func() {
+		l, h := freeAddressPair()
+		a, b := startNode(l, 1), startNode(h, 2)
+		connectNodes(a, b)
+		for i := range uint64(20) {
+			before := time.Now()
+			expectDelivery(a, b, 2*i+2)
+			expectDelivery(b, a, 2*i+3)
+			// Send times are kept in steps of 10 ms.
+			Expect(a.sentAfterOf(2*i + 3)).To(BeTemporally(">=", before.Add(-10*time.Millisecond)))
+		}
+	})
+
 	It("connects when only the higher address knows the other", func() {
 		l, h := freeAddressPair()
 		a, b := startNode(l, 1), startNode(h, 2)
--- a/lentilbend/internal/peer/link.go
+++ b/lentilbend/internal/peer/link.go
@@ -53,6 +53,28 @@
 	ackDueSince time.Time
 	// sendStart is when the send in progress started; zero if there is none.
 	sendStart time.Time
+	// unacknowledged holds the send times of frames that the peer has not yet
+	// acknowledged, the oldest first and at least sendTimeStep apart.
+	unacknowledged []sendTime
+	// sentAfter is a time after which the peer enqueued the messages of the last
+	// received frame: when the newest frame that it acknowledges was sent, or else
+	// when this VM opened the stream. It is zero if unknown.
+	sentAfter time.Time
+}
+
+// sendTimeStep is the minimum time between two entries of stream.unacknowledged.
+const sendTimeStep = 10 * time.Millisecond
+
+// sendTime is the time at which a frame was sent.
+type sendTime struct {
+	number uint64
+	at     time.Time
+}
+
+// newStream returns a stream that this VM opened at the given time; zero if the
+// peer opened it.
+func newStream(from member.ID, send func(*peerpb.Frame) error, cancel context.CancelFunc, opened time.Time) *stream {
+	return &stream{from: from, send: send, cancel: cancel, wake: make(chan struct{}, 1), sentAfter: opened}
 }
 
 func (l *link) current() *stream {
@@ -127,7 +149,9 @@
 	}
 	s.queued += n
 	if s.pending == nil {
-		s.pending = &peerpb.Frame{}
+		// The acknowledgement tells the peer how old the messages can be, so a frame
+		// received while they are queued is left to the next one.
+		s.pending = &peerpb.Frame{Received: s.received}
 	}
 	appendMessages(s.pending, f)
 	select {
@@ -146,8 +170,8 @@
 	to.Answers = append(to.Answers, f.Answers...)
 }
 
-// nextFrame removes the pending frame, adds the acknowledgement of the frames
-// received and returns it. It returns nil if no frame is pending.
+// nextFrame removes the pending frame and returns it, or nil if no frame is
+// pending.
 func (s *stream) nextFrame(now time.Time) *peerpb.Frame {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,9 +180,10 @@
 		return nil
 	}
 	s.pending, s.queued = nil, 0
-	s.ackDueSince = time.Time{}
+	if f.Received == s.received {
+		s.ackDueSince = time.Time{}
+	}
 	s.sendStart = now
-	f.Received = s.received
 	if hasNoMessages(f) {
 		return f
 	}
@@ -166,6 +191,9 @@
 	if s.awaitedAck == 0 {
 		s.awaitedAck, s.awaitedSince = s.sent, now
 	}
+	if n := len(s.unacknowledged); n == 0 || now.Sub(s.unacknowledged[n-1].at) >= sendTimeStep {
+		s.unacknowledged = append(s.unacknowledged, sendTime{s.sent, now})
+	}
 	return f
 }
 
@@ -209,6 +237,10 @@
 			s.awaitedAck, s.awaitedSince = s.sent, now
 		}
 	}
+	for len(s.unacknowledged) > 0 && s.unacknowledged[0].number <= f.Received {
+		s.sentAfter = s.unacknowledged[0].at
+		s.unacknowledged = s.unacknowledged[1:]
+	}
 	if hasNoMessages(f) {
 		return
 	}
@@ -218,6 +250,12 @@
 	}
 }
 
+func (s *stream) lastSentAfter() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sentAfter
+}
+
 // checkSilence reports whether the stream is silent: a frame takes longer than
 // SilenceTimeout to send or to be acknowledged. It also enqueues an
 // acknowledgement that has waited AckDelay without a frame to carry it.
--- a/lentilbend/internal/relay/handler.go
+++ b/lentilbend/internal/relay/handler.go
@@ -7,7 +7,7 @@
 	"lentilbend.example/internal/peerpb"
 )
 
-// Handle processes the announcements in a peer's frame.
-func (r *Relay) Handle(_ time.Time, from member.ID, f *peerpb.Frame) {
-	r.Receive(from.Address, f.GetConfig())
+// Handle processes the announcements in a peer's frame that was sent after sentAfter.
+func (r *Relay) Handle(_, sentAfter time.Time, from member.ID, f *peerpb.Frame) {
+	r.Receive(sentAfter, from.Address, f.GetConfig())
 }
--- a/lentilbend/internal/relay/pack_test.go
+++ b/lentilbend/internal/relay/pack_test.go
@@ -69,7 +69,7 @@
 				pulled.Store(true)
 				return &peerpb.PullAnswer{Accepted: 9, Digest: 1, Packed: b}
 			})
-			rs[0].Receive(netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{Accepted: 9, Digest: 1}})
+			rs[0].Receive(time.Now(), netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{Accepted: 9, Digest: 1}})
 			Eventually(pulled.Load, "3s").Should(BeTrue())
 			Consistently(func() uint64 { return rs[0].Store.Accepted().Revision }, 300*time.Millisecond).Should(BeZero())
 		}
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -87,8 +87,10 @@
 	// wake signals a new announcement to pullLoop.
 	wake chan struct{}
 	// peerReadAt is when a peer last read the platform up to a revision that is
-	// accepted here.
+	// accepted here, or earlier.
 	peerReadAt time.Time
+	// pausedAt is when the last pause of this VM was noticed.
+	pausedAt time.Time
 	// forwardedReadAt is the time of the newest read that was forwarded.
 	forwardedReadAt time.Time
 	packer          packer
@@ -100,7 +102,7 @@
 	Table store.Version
 	List  uint64
 	// Reads says that the peer announced a read of the platform, its own or a
-	// forwarded one, and Read when that was.
+	// forwarded one. Read is when that was at the earliest; zero if unknown.
 	Reads bool
 	Read  time.Time
 }
@@ -113,6 +115,9 @@
 	if err := event.Subscribe(ctx, r.Bus, func(event.ListRead) { r.announceAll() }); err != nil {
 		return err
 	}
+	if err := event.Subscribe(ctx, r.Bus, func(event.Pause) { r.discardReads() }); err != nil {
+		return err
+	}
 	var g sync.WaitGroup
 	g.Go(func() { r.gossipLoop(ctx) })
 	g.Go(func() { r.queryLoop(ctx) })
@@ -124,14 +129,15 @@
 // Receive records the announcements of a peer. A peer with an older table or VM
 // list gets an announcement in return, so that it pulls from this VM, and so does one
 // that knows of no read of the platform if this VM does, so that it need not read it.
-func (r *Relay) Receive(from netip.AddrPort, ms []*peerpb.ConfigMessage) {
+// The announcements were sent after sentAfter, zero if unknown.
+func (r *Relay) Receive(sentAfter time.Time, from netip.AddrPort, ms []*peerpb.ConfigMessage) {
 	for _, m := range ms {
 		a := Announcement{
 			Table: store.Version{Revision: m.GetAccepted(), Digest: m.GetDigest()},
 			List:  m.GetList(),
 		}
 		if n := m.GetReadAge(); n > 0 {
-			a.Reads, a.Read = true, time.Now().Add(-time.Duration(n-1)*time.Millisecond)
+			a.Reads, a.Read = true, r.earliestReadTime(sentAfter, time.Duration(n-1)*time.Millisecond)
 		}
 		r.recordAnnouncement(from, a)
 		if a.Reads {
@@ -143,6 +149,29 @@
 	}
 }
 
+// earliestReadTime returns the time at or after which a read was that had the given
+// age in a message sent after sentAfter. It is zero if that is unknown, or if this VM
+// was paused since sentAfter: its clock may not have counted the pause.
+func (r *Relay) earliestReadTime(sentAfter time.Time, age time.Duration) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if sentAfter.IsZero() || !sentAfter.After(r.pausedAt) {
+		return time.Time{}
+	}
+	return sentAfter.Add(-age)
+}
+
+// discardReads forgets the known reads of peers after a pause of this VM.
+func (r *Relay) discardReads() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausedAt, r.peerReadAt = time.Now(), time.Time{}
+	for p, a := range r.announcements {
+		a.Reads, a.Read = false, time.Time{}
+		r.announcements[p] = a
+	}
+}
+
 // knowsRead reports whether this VM knows of a read of the platform.
 func (r *Relay) knowsRead() bool {
 	_, ok := r.LastReadAge()
@@ -219,6 +248,12 @@
 }
 
 func (r *Relay) announce(to netip.AddrPort) {
+	r.Peers.Send(to, &peerpb.Frame{Config: []*peerpb.ConfigMessage{r.NewAnnouncement()}})
+}
+
+// NewAnnouncement returns the versions of this VM and the age of the newest read of
+// the platform that it knows.
+func (r *Relay) NewAnnouncement() *peerpb.ConfigMessage {
 	var v store.Version
 	if r.isTableConfirmed() {
 		v = r.Store.Accepted()
@@ -227,7 +262,7 @@
 	if d, ok := r.LastReadAge(); ok {
 		m.ReadAge = uint32(min(d.Milliseconds(), maxReadAge.Milliseconds())) + 1
 	}
-	r.Peers.Send(to, &peerpb.Frame{Config: []*peerpb.ConfigMessage{m}})
+	return m
 }
 
 func (r *Relay) announceAll() {
--- a/lentilbend/internal/relay/relay_test.go
+++ b/lentilbend/internal/relay/relay_test.go
@@ -62,7 +62,8 @@
 	if r == nil {
 		return false
 	}
-	go r.Receive(e.self, f.GetConfig())
+	sent := time.Now()
+	go r.Receive(sent, e.self, f.GetConfig())
 	return true
 }
 
@@ -172,10 +173,10 @@
 		w.unresponsive[stopped] = true
 		w.blocked[[2]netip.AddrPort{other, netip.MustParseAddrPort("10.0.0.3:7")}] = true
 		w.mu.Unlock()
-		rs[2].Receive(stopped, []*peerpb.ConfigMessage{{Accepted: 3, Digest: 1}})
+		rs[2].Receive(time.Now(), stopped, []*peerpb.ConfigMessage{{Accepted: 3, Digest: 1}})
 		applyEdit(rs[1], 3)
 		time.Sleep(100 * time.Millisecond)
-		rs[2].Receive(other, []*peerpb.ConfigMessage{{Accepted: 3, Digest: rs[1].Store.Accepted().Digest}})
+		rs[2].Receive(time.Now(), other, []*peerpb.ConfigMessage{{Accepted: 3, Digest: rs[1].Store.Accepted().Digest}})
 		Eventually(func() uint64 { return rs[2].Store.Accepted().Revision }, 1500*time.Millisecond).Should(Equal(uint64(3)))
 	})
 
@@ -184,7 +185,7 @@
 		applyEdit(rs[0], 5)
 		Eventually(lowestRevision(rs), 30*time.Second).Should(Equal(uint64(5)))
 		applyEdit(rs[1], 4)
-		rs[2].Receive(netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{Accepted: 4}})
+		rs[2].Receive(time.Now(), netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{Accepted: 4}})
 		Consistently(lowestRevision(rs), 500*time.Millisecond).Should(Equal(uint64(5)))
 	})
 
@@ -193,13 +194,69 @@
 		never := func(time.Time) (time.Duration, bool) { return 0, false }
 		rs[0].ReadAge = func(time.Time) (time.Duration, bool) { return time.Millisecond, true }
 		rs[1].ReadAge = never
-		rs[0].Receive(netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{}})
+		rs[0].Receive(time.Now(), netip.MustParseAddrPort("10.0.0.2:7"), []*peerpb.ConfigMessage{{}})
 		Eventually(func() bool {
 			_, known := rs[1].PeerReadAge()
 			return known
 		}, "500ms").Should(BeTrue())
 	})
 
+	// Guards against VMs that rely on reads which look fresher than they are, and so
+	// do not notice that no VM reads the platform any longer.
+	Describe("the age of a peer's read", func() {
+		reader := netip.MustParseAddrPort("10.0.0.2:7")
+		justRead := []*peerpb.ConfigMessage{{ReadAge: 1}}
+
+		It("includes the time that the announcement may have been under way", func() {
+			_, rs := startFleet(1)
+			rs[0].Receive(time.Now().Add(-2*time.Second), reader, justRead)
+			age, known := rs[0].PeerReadAge()
+			Expect(known).To(BeTrue())
+			Expect(age).To(BeNumerically(">=", 2*time.Second))
+		})
+
+		It("is unknown if nothing is known of the time under way", func() {
+			_, rs := startFleet(1)
+			rs[0].Receive(time.Time{}, reader, justRead)
+			_, known := rs[0].PeerReadAge()
+			Expect(known).To(BeFalse())
+		})
+
+		It("grows with every hop of an announcement that is passed on", func() {
+			_, rs := startFleet(3)
+			rs[0].ReadAge = func(time.Time) (time.Duration, bool) { return 0, true }
+			for i, r := range rs[:2] {
+				sent := time.Now().Add(-time.Second)
+				rs[i+1].ReadAge = func(time.Time) (time.Duration, bool) { return 0, false }
+				rs[i+1].Receive(sent, netip.AddrPortFrom(reader.Addr(), uint16(i+1)), []*peerpb.ConfigMessage{r.NewAnnouncement()})
+			}
+			age, known := rs[2].PeerReadAge()
+			Expect(known).To(BeTrue())
+			Expect(age).To(BeNumerically(">=", 2*time.Second))
+		})
+
+		It("is unknown after a pause, until an announcement that was sent after it", func() {
+			_, rs := startFleet(1)
+			known := func() bool {
+				_, known := rs[0].PeerReadAge()
+				return known
+			}
+			before := time.Now()
+			rs[0].Receive(before, reader, justRead)
+			Expect(known()).To(BeTrue())
+			Eventually(func() bool {
+				Expect(rs[0].Bus.Publish(event.Pause{Length: 3 * time.Second})).To(Succeed())
+				return known()
+			}, "2s").Should(BeFalse())
+			rs[0].Receive(before, reader, justRead)
+			Expect(known()).To(BeFalse())
+			Eventually(func() bool {
+				rs[0].Receive(time.Now(), reader, justRead)
+				return known()
+			}, "2s").Should(BeTrue())
+		})
+	})
+
 	Describe("a VM that restarts while the platform is stale", func() {
 		currentAddress := netip.MustParseAddrPort("10.0.0.1:7")
 		restartedAddress := netip.MustParseAddrPort("10.0.0.2:7")
@@ -254,7 +311,7 @@
 			w.mu.Unlock()
 			members.Store(&[]netip.AddrPort{currentAddress, restartedAddress})
 			v := vm.Store.Accepted()
-			vm.Receive(restartedAddress, []*peerpb.ConfigMessage{{Accepted: v.Revision, Digest: v.Digest}})
+			vm.Receive(time.Now(), restartedAddress, []*peerpb.ConfigMessage{{Accepted: v.Revision, Digest: v.Digest}})
 			Consistently(isCaughtUp, "600ms").Should(BeFalse())
 			w.mu.Lock()
 			delete(w.blocked, unreachable)
--- a/lentilbend/internal/serve/choice.go
+++ b/lentilbend/internal/serve/choice.go
@@ -121,7 +121,7 @@
 }
 
 // Handle implements peer.Handler.
-func (h *stateUpdateHandler) Handle(now time.Time, from member.ID, f *peerpb.Frame) {
+func (h *stateUpdateHandler) Handle(now, _ time.Time, from member.ID, f *peerpb.Frame) {
 	if len(f.GetLoad()) > 0 {
 		h.services.ApplyUpdates(now, from.Address, f.GetLoad())
 	}
