Bound the time as of which a read of the store counts, and forget it after a pause

A reader took every answer of the store to be as of its arrival. An answer that was under way for a second, or arrived while the VM was paused, made all other VMs rely on a read that was older than announced.

An answer now counts as of the end of the wait that the read asked for at the latest, and a pause of the VM discards the last read and the one in progress.

--- a/lentilbend/internal/platform/watcher.go
+++ b/lentilbend/internal/platform/watcher.go
@@ -98,6 +98,7 @@
 	reading   atomic.Bool
 	failures  atomic.Uint64
 	takeovers atomic.Uint64
+	pauses    atomic.Uint64
 }
 
 // Run reads until ctx ends.
@@ -184,7 +185,7 @@
 // whether it returned values.
 func (w *Watcher) readOnce(ctx context.Context) (ok, changed bool) {
 	w.reading.Store(true)
-	sent := time.Now()
+	sent, pauses := time.Now(), w.pauses.Load()
 	var a *platformpb.ValuesAnswer
 	var err error
 	w.cursor = max(w.cursor, w.Store.Accepted().Revision)
@@ -206,12 +207,14 @@
 	}
 	w.historyDropped = w.historyDropped && !full
 	w.cursor = max(w.cursor, a.GetRevision())
-	w.lastRead.Store(&sent)
+	asOf := sent
 	if !full {
-		// Changes may have waited before it answered, so its answer is as of
-		// now.
-		now := time.Now()
-		w.lastRead.Store(&now)
+		// Changes may have waited before it answered. A longer time was spent under
+		// way.
+		asOf = sent.Add(min(time.Since(sent), maxChangesWait))
+	}
+	if pauses == w.pauses.Load() {
+		w.lastRead.Store(&asOf)
 	}
 	return true, len(a.GetValues()) > 0
 }
@@ -258,6 +261,13 @@
 	return now.Sub(*t), true
 }
 
+// DiscardReads forgets the last read and that in progress after a pause of this VM,
+// since its clock may not have counted the pause.
+func (w *Watcher) DiscardReads() {
+	w.pauses.Add(1)
+	w.lastRead.Store(nil)
+}
+
 // WatcherState is the dump of a watcher.
 type WatcherState struct {
 	// Reading reports that this VM reads the platform itself.
--- a/lentilbend/internal/platform/watcher_test.go
+++ b/lentilbend/internal/platform/watcher_test.go
@@ -24,6 +24,8 @@
 	mu    sync.Mutex
 	reads []time.Time
 	err   error
+	// delay is how long an answer is under way.
+	delay time.Duration
 }
 
 func (s *fakeSource) read() (*platformpb.ValuesAnswer, error) {
@@ -33,6 +35,18 @@
 	return &platformpb.ValuesAnswer{Revision: 1}, s.err
 }
 
+func (s *fakeSource) answerDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.delay
+}
+
+func (s *fakeSource) setDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
 func (s *fakeSource) setError(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -45,7 +59,7 @@
 	a, err := s.read()
 	select {
 	case <-ctx.Done():
-	case <-time.After(min(wait, 20*time.Millisecond)):
+	case <-time.After(min(wait, 20*time.Millisecond) + s.answerDelay()):
 	}
 	return a, err
 }
@@ -203,6 +217,37 @@
 		Eventually(s.Calls, "900ms").Should(BeNumerically(">", 0))
 	})
 
+	// Guards against a read that looks fresher than it is because its answer was under
+	// way for long or this VM was paused, so that all VMs rely on it for too long.
+	It("takes an answer as of the end of the wait at the latest", func() {
+		s := &fakeSource{delay: 1500 * time.Millisecond}
+		w := startWatcher(s, 1, func() (time.Duration, bool) { return 0, false })
+		readAge := func() (time.Duration, bool) { return w.ReadAge(time.Now()) }
+		Eventually(func() bool {
+			_, ok := readAge()
+			return ok
+		}, "3s", "10ms").Should(BeTrue())
+		age, _ := readAge()
+		Expect(age).To(BeNumerically(">=", 700*time.Millisecond))
+	})
+
+	It("forgets its reads after a pause, and an answer to a read sent before it", func() {
+		s := &fakeSource{}
+		w := startWatcher(s, 1, func() (time.Duration, bool) { return 0, false })
+		known := func() bool {
+			_, ok := w.ReadAge(time.Now())
+			return ok
+		}
+		Eventually(known, "2s").Should(BeTrue())
+		s.setDelay(400 * time.Millisecond)
+		n := s.Calls()
+		Eventually(s.Calls, "2s", "1ms").Should(BeNumerically(">", n+1))
+		w.DiscardReads()
+		Expect(known()).To(BeFalse())
+		Consistently(known, "300ms").Should(BeFalse())
+		Eventually(known, "2s").Should(BeTrue())
+	})
+
 	It("returns the age of its last read only while its reads succeed", func() {
 		s := &fakeSource{}
 		w := startWatcher(s, 1, func() (time.Duration, bool) { return 0, false })
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -136,6 +136,9 @@
 		if err := event.Subscribe(ctx, p.bus, p.applyWorkspaceLimits); err != nil {
 			return err
 		}
+		if err := event.Subscribe(ctx, p.bus, func(event.Pause) { p.watcher.DiscardReads() }); err != nil {
+			return err
+		}
 	} else {
 		run(func() error { return p.fleet.Run(ctx) })
 		run(func() error { return p.reader.Run(ctx) })
