Send nothing to a server that says it leaves or asks for a pause

A server that said in its answers that it leaves got requests and probes until the table said so too, and one that asked for a pause with its 503 got further ones from the same VM at once; only its callers were told to wait, in whole seconds.

A notice in the header of an answer or of a probe's answer now takes that run of the server out of the choice: for good, or for the pause (fractions of a second, up to an hour). Probes and checks of requests in flight leave it alone too. A later run, by name or start time, starts without notices; a server that the table lacks for a while keeps them. A server that starts again under its name counts as new, with its stated cold start.

The two specs of the process "with a server that gives a notice" failed with the notices ignored and pass now.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -24,8 +24,10 @@
 	Address    netip.AddrPort
 	DataCentre string
 	// Name identifies one run of the server; another name at the same address
-	// is another server.
+	// is another server. Born is when that run started, by the server's clock; zero
+	// if unknown. Another start time is another run under the same name.
 	Name string
+	Born time.Time
 	// Slots is the number of requests the server processes concurrently. A Set
 	// does not use it; Config.Slots applies to all servers of a service.
 	Slots int
@@ -48,6 +50,8 @@
 	Name() string
 	// Basis returns what was known of the server when it was chosen.
 	Basis() Basis
+	// Record records a notice in the header of the answer, before End.
+	Record(now time.Time, n Notice)
 	// End records the outcome of the call. It must be called once.
 	End(now time.Time, o Outcome)
 }
--- a/internal/choice/cold.go
+++ b/internal/choice/cold.go
@@ -14,7 +14,7 @@
 	o := s.Rand.IntN(n)
 	for i := range n {
 		v := s.servers[(o+i)%n]
-		if !v.coldStart.needsAllowance() || !v.usable(tried) || !s.coldEligible(v) {
+		if !v.coldStart.needsAllowance() || !v.usable(s.now, tried) || !s.coldEligible(v) {
 			continue
 		}
 		if s.Cold.Take(s.now, v.address) {
@@ -31,7 +31,7 @@
 // is to be checked.
 func (s *Set) pickTrial(tried []netip.AddrPort) *server {
 	for _, v := range s.servers {
-		if v.calls.count > 0 || !v.usable(tried) || v.coldStart.needsAllowance() || v.health.ejected(s.now) {
+		if v.calls.count > 0 || !v.usable(s.now, tried) || v.coldStart.needsAllowance() || v.health.ejected(s.now) {
 			continue
 		}
 		if v.drain.checkDue(s.now) || v.health.halfOpen() && !v.drain.announced {
--- a/internal/choice/dump.go
+++ b/internal/choice/dump.go
@@ -59,11 +59,13 @@
 	ColdTaken uint64
 	Sheds     uint64
 	Failures  uint64
+	// PauseLeft is how much longer the server wants no requests from this VM.
+	PauseLeft time.Duration
 }
 
 // Usable reports whether the server gets requests without restriction.
 func (d ServerDump) Usable() bool {
-	return !d.Out && !d.Leaving && !d.Draining && !d.Suspended && d.Phase == phaseWarm.String()
+	return !d.Out && !d.Leaving && !d.Draining && !d.Suspended && d.PauseLeft == 0 && d.Phase == phaseWarm.String()
 }
 
 // Dump returns the state.
@@ -92,7 +94,7 @@
 		DataCentre: v.dataCentre.name,
 		Distance:   v.dataCentre.distance,
 		Out:        v.out,
-		Leaving:    v.leaving,
+		Leaving:    v.leaving || v.notices.leaving,
 		Missing:    v.missing,
 		Draining:   v.draining(s.now),
 		Suspended:  v.health.ejected(s.now),
@@ -106,6 +108,7 @@
 		ColdTaken:  v.coldTaken,
 		Sheds:      v.sheds,
 		Failures:   v.failures,
+		PauseLeft:  max(0, v.notices.pausedUntil.Sub(s.now)),
 	}
 	if v.coldStart.phase == phaseSlowStart {
 		d.Part = v.coldStart.fraction
--- a/internal/choice/informed.go
+++ b/internal/choice/informed.go
@@ -49,7 +49,8 @@
 
 // pickInformed picks a server by pickCold or pickTrial if one may get the
 // request and canSpareCold is false, and else a server of the best tier with
-// about the least expected time. The error is a *SaturatedError.
+// about the least expected time. The error is a *SaturatedError, also if all servers
+// asked for a pause.
 func (s *Set) pickInformed(p Informed, r Request) (*server, error) {
 	if s.updatePhases() && !s.canSpareCold(p, r.Tried) {
 		if v := s.pickCold(r.Tried); v != nil {
@@ -61,6 +62,9 @@
 	}
 	best := s.scoreServers(p, r.Tried)
 	if best == tierNone {
+		if d := s.pauseLeft(r.Tried); d > 0 {
+			return nil, &SaturatedError{Expected: d, RetryAfter: d}
+		}
 		return nil, nil
 	}
 	if best == tierGood {
@@ -155,7 +159,7 @@
 }
 
 func (s *Set) tier(v *server, tried []netip.AddrPort) tier {
-	if !v.usable(tried) || v.coldStart.needsAllowance() {
+	if !v.usable(s.now, tried) || v.coldStart.needsAllowance() {
 		return tierNone
 	}
 	if v.draining(s.now) {
--- a/internal/choice/probe.go
+++ b/internal/choice/probe.go
@@ -37,20 +37,21 @@
 }
 
 func (s *Set) needsProbe(v *server) bool {
-	if !v.usable(nil) || s.now.Sub(v.lastContact) < probeInterval || s.now.Sub(v.probedAt) < probeInterval {
+	if !v.usable(s.now, nil) || s.now.Sub(v.lastContact) < probeInterval || s.now.Sub(v.probedAt) < probeInterval {
 		return false
 	}
 	return v.draining(s.now) || v.coldStart.phase == phaseSuspect
 }
 
 // ReportOlderThan reports whether the last load report of a server is older than
-// age or missing. It returns false for an unknown server.
+// age or missing. It returns false for an unknown server and for one that wants no
+// requests.
 func (s *Set) ReportOlderThan(now time.Time, a netip.AddrPort, age time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advanceClock(now)
 	v := s.find(a)
-	return v != nil && s.now.Sub(v.reportedAt) > age
+	return v != nil && s.now.Sub(v.reportedAt) > age && !v.notices.inForce(s.now)
 }
 
 // ProbeCandidates returns those of the n best servers for a request of a kind
--- a/internal/choice/saturation.go
+++ b/internal/choice/saturation.go
@@ -41,7 +41,8 @@
 // ErrNoServer means that no server may get the request.
 var ErrNoServer = errors.New("choice: no server may get the request")
 
-// SaturatedError means that the servers can't answer a request in time.
+// SaturatedError means that the servers can't answer a request in time, or that all
+// of them asked for a pause.
 type SaturatedError struct {
 	// Expected is the time in which the best server would have answered.
 	Expected time.Duration
--- a/internal/choice/server.go
+++ b/internal/choice/server.go
@@ -11,6 +11,7 @@
 type server struct {
 	address    netip.AddrPort
 	name       string
+	born       time.Time
 	dataCentre *dataCentre
 	out        bool
 	leaving    bool
@@ -32,6 +33,7 @@
 
 	health    health
 	coldStart coldStart
+	notices   notices
 
 	drain         drain
 	answeredAt    time.Time // last complete good answer
@@ -55,6 +57,11 @@
 	distance time.Duration
 }
 
+// isSameRun reports whether v is this run of the server.
+func (s *server) isSameRun(v Server) bool {
+	return s.name == v.Name && (s.born.IsZero() || v.Born.IsZero() || s.born.Equal(v.Born))
+}
+
 // storeReport stores a load report received now.
 func (s *server) storeReport(now time.Time, r *load.Report) {
 	s.report = *r
--- a/internal/choice/set.go
+++ b/internal/choice/set.go
@@ -50,6 +50,7 @@
 	initialLatency time.Duration
 	coldFor        time.Duration
 	servers        []*server
+	absent         []absentServer
 	dataCentres    []*dataCentre
 	baseline       latencyStats // of all kinds of request
 	kinds          map[string]*latencyStats
@@ -110,13 +111,19 @@
 	s.servers = make([]*server, 0, len(ss))
 	for _, v := range ss {
 		n := known[v.Address]
-		if n != nil && n.name != v.Name {
+		if n != nil && !n.isSameRun(v) {
 			n = nil
 		}
+		if n == nil {
+			n = s.findAbsent(v)
+		}
 		added := n == nil
 		if added {
 			n = &server{address: v.Address, name: v.Name, slowness: 1}
 		}
+		if !v.Born.IsZero() {
+			n.born = v.Born
+		}
 		v.Leaving = v.Leaving || n.leaving && v.Missing
 		back := n.out && !v.Out || n.leaving && !v.Leaving
 		if s.coldStated {
@@ -128,6 +135,7 @@
 		n.out, n.leaving, n.missing = v.Out, v.Leaving, v.Missing
 		s.servers = append(s.servers, n)
 	}
+	s.rememberAbsent(known, s.servers)
 	s.populated = s.populated || len(ss) > 0
 	s.scores = make([]float64, len(s.servers))
 }
@@ -285,6 +293,11 @@
 }
 
 // usable reports whether the server may get new requests at all.
-func (s *server) usable(tried []netip.AddrPort) bool {
+func (s *server) usable(now time.Time, tried []netip.AddrPort) bool {
+	return s.inService(tried) && !s.notices.inForce(now)
+}
+
+// inService reports whether the server may get new requests by the table.
+func (s *server) inService(tried []netip.AddrPort) bool {
 	return !s.out && !s.leaving && !slices.Contains(tried, s.address)
 }
--- a/internal/choice/simple.go
+++ b/internal/choice/simple.go
@@ -7,7 +7,7 @@
 	var v *server
 	n := 0
 	for _, o := range s.servers {
-		if !o.usable(tried) {
+		if !o.usable(s.now, tried) {
 			continue
 		}
 		n++
@@ -22,7 +22,7 @@
 func (s *Set) pickRoundRobin(tried []netip.AddrPort) *server {
 	for range s.servers {
 		s.lastPicked = (s.lastPicked + 1) % len(s.servers)
-		if v := s.servers[s.lastPicked]; v.usable(tried) {
+		if v := s.servers[s.lastPicked]; v.usable(s.now, tried) {
 			return v
 		}
 	}
--- a/internal/choice/simulation_test.go
+++ b/internal/choice/simulation_test.go
@@ -265,4 +265,5 @@
 func (c stateCall) Server() netip.AddrPort            { return c.address }
 func (c stateCall) Name() string                      { return "" }
 func (c stateCall) Basis() choice.Basis               { return choice.Basis{} }
+func (c stateCall) Record(time.Time, choice.Notice)   {}
 func (c stateCall) End(_ time.Time, _ choice.Outcome) {}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -41,6 +41,12 @@
 	// NotRun reports whether an answer says that the backend server did not
 	// start the request.
 	NotRun func(status int, h http.Header) bool
+	// IsLeaving reports whether an answer says that its server will end soon. It may
+	// be nil.
+	IsLeaving func(h http.Header) bool
+	// ServerName names the header of an answer to a probe that holds the name of the
+	// server.
+	ServerName string
 	// ParseLoad returns the load report in the header of an answer.
 	ParseLoad func(h http.Header) (load.Report, bool)
 	// PrivateHeaders are removed from answers before they reach the caller.
--- a/lentilbend/internal/backend/chooser.go
+++ b/lentilbend/internal/backend/chooser.go
@@ -54,7 +54,8 @@
 	name   string
 }
 
-func (c randomCall) Server() netip.AddrPort      { return c.server }
-func (randomCall) Basis() choice.Basis           { return choice.Basis{Age: -1} }
-func (c randomCall) Name() string                { return c.name }
-func (randomCall) End(time.Time, choice.Outcome) {}
+func (c randomCall) Server() netip.AddrPort        { return c.server }
+func (randomCall) Basis() choice.Basis             { return choice.Basis{Age: -1} }
+func (c randomCall) Name() string                  { return c.name }
+func (randomCall) Record(time.Time, choice.Notice) {}
+func (randomCall) End(time.Time, choice.Outcome)   {}
--- a/lentilbend/internal/backend/choosers_test.go
+++ b/lentilbend/internal/backend/choosers_test.go
@@ -29,6 +29,8 @@
 
 func (c call) Name() string { return c.name }
 
+func (call) Record(time.Time, choice.Notice) {}
+
 func (c call) Basis() choice.Basis { return choice.Basis{} }
 
 func (c call) Server() netip.AddrPort      { return c.address }
@@ -73,3 +75,26 @@
 func (saturated) Choose(time.Time, *exchange.Exchange, []netip.AddrPort) (choice.Call, error) {
 	return nil, &choice.SaturatedError{Expected: time.Second, RetryAfter: 100 * time.Millisecond}
 }
+
+// noticeRecorder chooses in order and records the notices of servers.
+type noticeRecorder struct {
+	inOrder
+	notices []choice.Notice
+}
+
+func (n *noticeRecorder) Choose(now time.Time, x *exchange.Exchange, tried []netip.AddrPort) (choice.Call, error) {
+	c, err := n.inOrder.Choose(now, x, tried)
+	if err != nil {
+		return nil, err
+	}
+	return recordedCall{c.(call), n}, nil
+}
+
+type recordedCall struct {
+	call
+	recorder *noticeRecorder
+}
+
+func (c recordedCall) Record(_ time.Time, n choice.Notice) {
+	c.recorder.notices = append(c.recorder.notices, n)
+}
--- a/lentilbend/internal/backend/outcome.go
+++ b/lentilbend/internal/backend/outcome.go
@@ -4,10 +4,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/dialect"
 	"lentilbend.example/internal/load"
 
 	"lentilbend.example/lentilbend/internal/pool"
@@ -81,10 +81,11 @@
 		f.endCall(call, choice.BadAnswer{})
 		return broken{}
 	}
+	f.recordNotice(call, a)
 	if f.dialect.NotRun(a.StatusCode, a.Header) {
 		f.discardBody(c, a)
 		f.endCall(call, choice.Shed{Load: f.loadReport(a.Header)})
-		return shed{retryAfter: parseRetryAfter(a.Header), hadRoom: call.Basis().HadRoom()}
+		return shed{retryAfter: f.callerRetryAfter(a), hadRoom: call.Basis().HadRoom()}
 	}
 	f.mayHaveRun = true
 	if f.mustNotPass(a) {
@@ -95,6 +96,21 @@
 	return f.passAnswer(pendingAnswer{response: a, conn: c, call: call, firstByte: firstByte, load: f.loadReport(a.Header)})
 }
 
+// recordNotice records what the server says of itself in the answer. A 421 comes
+// from another server at the address.
+func (f *forwarding) recordNotice(call choice.Call, a *http.Response) {
+	if a.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	n := choice.Notice{Leaving: f.dialect.IsLeaving != nil && f.dialect.IsLeaving(a.Header)}
+	if a.StatusCode == http.StatusServiceUnavailable {
+		n.Pause = dialect.ParseRetryAfter(a.Header)
+	}
+	if n != (choice.Notice{}) {
+		call.Record(f.forwarder.now(), n)
+	}
+}
+
 // matchesRequest reports whether an answer belongs to this request, by the
 // request ID that it echoes. A late or duplicate answer to an earlier request on
 // the connection may arrive in its place.
@@ -149,12 +165,11 @@
 	return &f.report
 }
 
-// parseRetryAfter returns the delay of the server's Retry-After field. It
-// returns 0 unless the field is a number of seconds up to one hour.
-func parseRetryAfter(h http.Header) time.Duration {
-	n, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || n < 0 || n > 3600 {
+// callerRetryAfter returns the pause that the server asked for if the service has no
+// other server, else 0.
+func (f *forwarding) callerRetryAfter(a *http.Response) time.Duration {
+	if len(f.exchange.Service.Servers) > 1 {
 		return 0
 	}
-	return time.Duration(n) * time.Second
+	return dialect.ParseRetryAfter(a.Header)
 }
--- a/lentilbend/internal/chooser/probe.go
+++ b/lentilbend/internal/chooser/probe.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilbend.example/internal/choice"
+	"lentilbend.example/internal/dialect"
 	"lentilbend.example/internal/load"
 )
 
@@ -27,6 +28,9 @@
 	// ParseLoad returns the load report in the headers of an answer; nil parses
 	// the header load.Header.
 	ParseLoad func(h http.Header) (load.Report, bool)
+	// Dialect says what else servers state in the headers of their answers; nil if
+	// they state nothing.
+	Dialect *dialect.Dialect
 
 	sent atomic.Uint64
 }
@@ -98,14 +102,15 @@
 
 // probe fetches the load report of a server and records the result.
 func (p *Prober) probe(ctx context.Context, v *service, a netip.AddrPort) {
-	r := p.fetchReport(ctx, a, v.loadPath.Load())
+	r := p.fetchReport(ctx, v, a)
 	v.set.RecordProbe(time.Now(), a, r)
 }
 
-// fetchReport requests the load report of a server. It returns nil if the
-// server has no load endpoint or answers with an error, without a report or too
-// late.
-func (p *Prober) fetchReport(ctx context.Context, a netip.AddrPort, path *string) *load.Report {
+// fetchReport requests the load report of a server and records its notice. It
+// returns nil if the server has no load endpoint or answers with an error, without a
+// report or too late.
+func (p *Prober) fetchReport(ctx context.Context, v *service, a netip.AddrPort) *load.Report {
+	path := v.loadPath.Load()
 	if path == nil || *path == "" {
 		return nil
 	}
@@ -121,6 +126,7 @@
 		return nil
 	}
 	defer func() { _ = w.Body.Close() }()
+	p.recordNotice(v, a, w)
 	_, _ = io.CopyN(io.Discard, w.Body, maxProbeBody)
 	parseLoad := p.ParseLoad
 	if parseLoad == nil {
@@ -132,3 +138,18 @@
 	}
 	return &r
 }
+
+// recordNotice records what a server says of itself in the answer to a probe.
+func (p *Prober) recordNotice(v *service, a netip.AddrPort, w *http.Response) {
+	if p.Dialect == nil {
+		return
+	}
+	n := choice.Notice{Leaving: p.Dialect.IsLeaving != nil && p.Dialect.IsLeaving(w.Header)}
+	if w.StatusCode == http.StatusServiceUnavailable {
+		n.Pause = dialect.ParseRetryAfter(w.Header)
+	}
+	if n == (choice.Notice{}) {
+		return
+	}
+	v.set.RecordProbeNotice(time.Now(), a, w.Header.Get(p.Dialect.ServerName), n)
+}
--- a/lentilbend/internal/chooser/services.go
+++ b/lentilbend/internal/chooser/services.go
@@ -289,6 +289,7 @@
 		Address:    a.Address,
 		DataCentre: a.DataCentre,
 		Name:       a.Name,
+		Born:       a.Born,
 		ColdFor:    a.ColdFor,
 		Out:        out,
 		Leaving:    v.Leaving || a.Leaving,
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -133,7 +133,8 @@
 	p.services.DataCentre = p.Settings.DataCentre
 	p.services.Self = p.Settings.Peer.Address
 	p.services.FarCost = p.Settings.Fleet.FarCost
-	p.prober.ParseLoad = deployment.Dialect().ParseLoad
+	p.prober.Dialect = deployment.Dialect()
+	p.prober.ParseLoad = p.prober.Dialect.ParseLoad
 	p.services.ProbeCandidates = p.prober.ProbeCandidates
 	p.services.CheckReroute = p.prober.CheckReroute
 	p.throttleFilter = &throttle.Filter{Limits: p.workspaceLimits, Logger: p.root.Component("throttle")}
--- a/lentilbend/internal/serve/open_test.go
+++ b/lentilbend/internal/serve/open_test.go
@@ -236,6 +236,67 @@
 		Expect(v.log.lines("k1\"")).To(BeEmpty())
 	})
 
+	Describe("with a server that gives a notice", func() {
+		var v *vm
+		var noted *platformtest.Server
+
+		BeforeEach(func() {
+			store := newStore()
+			noted = newServer("i-1")
+			store.PutConfig(1, `"k1"`, 0)
+			store.PutServer(noted, false)
+			store.PutServer(newServer("i-2"), false)
+			v = startVM("127.0.0.1", store.Address())
+			Eventually(v.isReady, "3s").Should(BeTrue())
+		})
+
+		// giveNotice sets the server's mode and sends requests until it has answered one.
+		// Probes that were already on their way have then arrived too.
+		giveNotice := func(mode string) {
+			noted.Set(mode)
+			Eventually(func() []time.Time {
+				n := len(noted.Contacts())
+				_, _, _ = v.request("GET", "/look/1", "k1", "notice")
+				return noted.Contacts()[n:]
+			}, "3s").ShouldNot(BeEmpty())
+			for range 20 {
+				_, _, _ = v.request("GET", "/look/1", "k1", "notice")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+
+		// Guards against requests that reach a server which has said that it leaves.
+		It("sends nothing more to one that says that it leaves", func() {
+			giveNotice("leaving")
+			n := len(noted.Contacts())
+			for range 30 {
+				code, _, h := v.request("GET", "/look/1", "k1", "later")
+				Expect(code).To(Equal(200))
+				Expect(h).NotTo(HaveKey("Server-Leaving"))
+			}
+			time.Sleep(300 * time.Millisecond)
+			Expect(noted.Contacts()).To(HaveLen(n))
+		})
+
+		// Guards against requests to a server within the pause that it asked for.
+		It("sends nothing to one that asks for a pause until that is over", func() {
+			giveNotice("pause")
+			end := time.Now().Add(platformtest.PauseTime - 300*time.Millisecond)
+			n := len(noted.Contacts())
+			noted.Set("")
+			for time.Now().Before(end) {
+				code, _, _ := v.request("GET", "/look/1", "k1", "paused")
+				Expect(code).To(Equal(200))
+				Expect(noted.Contacts()).To(HaveLen(n))
+				time.Sleep(10 * time.Millisecond)
+			}
+			Eventually(func() int {
+				_, _, _ = v.request("GET", "/look/1", "k1", "after")
+				return len(noted.Contacts())
+			}, "5s").Should(BeNumerically(">", n))
+		})
+	})
+
 	It("keeps serving after SIGHUP", func() {
 		store := newStore()
 		store.PutConfig(1, `"k1"`, 0)
