Show that repeated refusals and answers cut in their head are not passed on

Other operators saw an earlier refusal, written once more, taken for the answer to a later request, and a cut head passed on as a whole answer. Neither happens here: the ID of an answer must be that of the request, and the head must be complete.

--- a/lentilbend/internal/backend/dialect_test.go
+++ b/lentilbend/internal/backend/dialect_test.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lentilbend.example/internal/choice"
 	"lentilbend.example/internal/table"
 
 	deployment "lentilbend.example/platform"
@@ -185,6 +187,97 @@
 		Expect(a.Header.Get("Retry-After")).To(Equal("0.050"))
 	})
 
+	It("does not make callers wait for the pause of one server while there are others", func() {
+		pause := "HTTP/1.1 503 Busy\r\nRequest-Id: " + requestID + "\r\nNot-Executed: 1\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n"
+		a, _ := newDeploymentEntry(newServer(respond(pause)).address()).request("POST", "/sale/1")
+		Expect(a.Header.Get("Retry-After")).To(Equal("2.500"))
+		a, _ = newDeploymentEntry(newServer(respond(pause)).address(), newServer(respond(pause)).address()).request("POST", "/sale/1")
+		Expect(a.Header.Get("Retry-After")).To(Equal("1.000"))
+	})
+
+	DescribeTable("records what a server says of itself in an answer",
+		func(status, extra string, want ...choice.Notice) {
+			e := newDeploymentEntry(newServer(respond(signedAnswer(status, extra, ""))).address())
+			n := &noticeRecorder{}
+			e.forwarder.Chooser = n
+			_, _ = e.request("POST", "/sale/1")
+			Expect(n.notices).To(HaveExactElements(want))
+		},
+		Entry("a success", "200 OK", ""),
+		Entry("a success of a server that leaves", "200 OK", "Server-Leaving: 1\r\n", choice.Notice{Leaving: true}),
+		Entry("a refusal of a server that leaves and wants a pause", "503 Busy", "Not-Executed: 1\r\nServer-Leaving: 1\r\nRetry-After: 0.25\r\n",
+			choice.Notice{Leaving: true, Pause: 250 * time.Millisecond}),
+		Entry("a 503 that may have run", "503 Busy", "Retry-After: 2\r\n", choice.Notice{Pause: 2 * time.Second}),
+		Entry("a 429 with a pause, which limits the workspace", "429 Slow", "Not-Executed: 1\r\nRetry-After: 2\r\n"),
+		Entry("a malformed pause", "503 Busy", "Not-Executed: 1\r\nRetry-After: soon\r\n"),
+		Entry("a negative pause", "503 Busy", "Not-Executed: 1\r\nRetry-After: -1\r\n"),
+		Entry("an endless pause", "503 Busy", "Not-Executed: 1\r\nRetry-After: Inf\r\n"),
+		Entry("another server at the address", "421 Misdirected Request", "Server-Leaving: 1\r\nRetry-After: 2\r\n"),
+	)
+
+	// Guards against a refusal that a server wrote once more: a caller would be told that
+	// a request did not run that did, or it would run at another server too.
+	DescribeTable("never takes an earlier refusal for the answer to a later request", func(method, path string, early bool, statuses ...int) {
+		refusalOf := func(id string) string {
+			return "HTTP/1.1 503 Busy\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+		refused := ""
+		var mu sync.Mutex
+		faulty := newServer(func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			id := r.Header.Get("Request-Id")
+			if refused == "" {
+				refused = id
+				text := refusalOf(id)
+				if early {
+					text += text
+				}
+				_, err := io.WriteString(c, text)
+				return err == nil
+			}
+			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s1\r\nContent-Length: 2\r\n\r\nok", id)
+			if !early {
+				text = refusalOf(refused) + text
+			}
+			_, err := io.WriteString(c, text)
+			return err == nil
+		})
+		other := newServer(func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s2\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"))
+			return err == nil
+		})
+		e := newDeploymentEntry(faulty.address(), other.address())
+		for i := range 4 {
+			before := other.runCount()
+			a, _ := e.do(method, path, "", "X-Api-Key", goodKey, "Request-Id", fmt.Sprintf("%016x", i+1), "Deadline-Ms", "2000")
+			Expect(a.StatusCode).To(BeElementOf(statuses))
+			if i > 0 && method == "POST" {
+				Expect(other.runCount()).To(Equal(before))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	},
+		Entry("sent at once, idempotent", "GET", "/read/1", true, http.StatusOK),
+		Entry("sent at once, not idempotent", "POST", "/sale/1", true, http.StatusOK),
+		Entry("sent late, idempotent", "GET", "/read/1", false, http.StatusOK),
+		Entry("sent late, not idempotent", "POST", "/sale/1", false, http.StatusOK, http.StatusBadGateway),
+	)
+
+	// Guards against an answer that looks whole although the server closed the connection
+	// within its head.
+	It("passes on no answer that was cut within its head", func() {
+		answer := signedAnswer("200 OK", "Content-Type: text/plain\r\n", "")
+		for _, whole := range []string{answer, strings.Replace(answer, "Content-Length: 0\r\n", "", 1), strings.Replace(answer, "Content-Length: 0", "Transfer-Encoding: chunked", 1)} {
+			for n := 1; n < len(whole); n++ {
+				s := newServer(respondAndClose(whole[:n]))
+				a, _ := newDeploymentEntry(s.address()).request("POST", "/sale/1")
+				Expect(a.StatusCode).To(Equal(http.StatusBadGateway), whole[:n])
+				Expect(s.runCount()).To(Equal(1))
+			}
+		}
+	})
+
 	It("refuses what no server can answer in time, with the time after which to come back", func() {
 		s := newServer(respond(signedAnswer("200 OK", "", "ok")))
 		e := newDeploymentEntry(s.address())
