Refuse requests that may outlast the graceful shutdown

A request that arrived after Stop.Wait, on a connection that was kept or accepted before, was passed on with its whole time and aborted at the end of the shutdown, also if it must not be repeated. With a grace of 6 s that is a request with a deadline of 3 s that arrives after 2.7 s.

After Stop.Wait a request is passed on only if its deadline is before the end of the shutdown, and else refused with 503 and not-run, so that its caller uses another VM.

The spec of the process failed before: the late request ran and outlasted the shutdown (504 in the test, where the process goes on to exist). It passes now, and a request that fits is still answered.

--- a/lentilbend/internal/serve/open_test.go
+++ b/lentilbend/internal/serve/open_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -72,6 +73,13 @@
 // startVM starts a process that reads store and finds other VMs by seeds. It is
 // stopped at the end of the spec.
 func startVM(host string, store netip.AddrPort, seeds ...netip.AddrPort) *vm {
+	v := newVM(host, store, seeds...)
+	v.start()
+	return v
+}
+
+// newVM returns a VM whose process is not started yet; see startVM.
+func newVM(host string, store netip.AddrPort, seeds ...netip.AddrPort) *vm {
 	v := &vm{ended: make(chan error, 1), log: &lockedBuffer{}, peer: unusedAddress(host)}
 	c, o := unusedAddress(host), unusedAddress(host)
 	v.callerURL, v.readyURL = "http://"+c.String(), "http://"+o.String()+"/readiness"
@@ -90,12 +98,19 @@
 		},
 		Signals: make(chan os.Signal, 2),
 	}
-	go func() { v.ended <- v.process.Run() }()
+	return v
+}
+
+// start starts the process. It is stopped at the end of the spec.
+func (v *vm) start() {
+	go func() {
+		v.ended <- v.process.Run()
+		close(v.ended)
+	}()
 	DeferCleanup(func() {
 		v.process.Signals <- syscall.SIGTERM
-		Eventually(v.ended, "10s").Should(Receive())
+		Eventually(v.ended, "10s").Should(BeClosed())
 	})
-	return v
 }
 
 // isReady reports whether the readiness endpoint answers 200.
@@ -297,6 +312,43 @@
 		})
 	})
 
+	// Guards against requests that are passed on late in a graceful shutdown and cut at
+	// its end.
+	It("refuses a request that may not end before the graceful shutdown does", func() {
+		store, server := newStore(), newServer("i-1")
+		store.PutConfig(1, `"k1"`, 0)
+		store.PutServer(server, false)
+		v := newVM("127.0.0.1", store.Address())
+		v.process.Settings.Stop = settings.Stop{Wait: 100 * time.Millisecond, Timeout: time.Second}
+		v.start()
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		dial := func() net.Conn {
+			c, err := net.Dial("tcp", strings.TrimPrefix(v.callerURL, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			return c
+		}
+		request := func(c net.Conn, id string, timeout time.Duration) int {
+			r, err := platformtest.NewRequest(context.Background(), "POST", v.callerURL, "/buy/1", "k1", id, timeout)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Write(c)).To(Succeed())
+			a, err := http.ReadResponse(bufio.NewReader(c), r)
+			Expect(err).NotTo(HaveOccurred())
+			return a.StatusCode
+		}
+		early, fits, late := dial(), dial(), dial()
+		stopped := time.Now()
+		v.process.Signals <- syscall.SIGTERM
+		Eventually(v.isReady, "1s").Should(BeFalse())
+		Expect(request(early, "early", time.Second)).To(Equal(200))
+		time.Sleep(time.Until(stopped.Add(500 * time.Millisecond)))
+		Expect(request(fits, "fits", 300*time.Millisecond)).To(Equal(200))
+		server.Set("slow")
+		Expect(request(late, "late", time.Second)).To(Equal(503))
+		Expect(server.RunSummaries()).To(Equal([]string{"early north", "fits north"}))
+		Eventually(v.ended, "3s").Should(Receive(Succeed()))
+	})
+
 	It("keeps serving after SIGHUP", func() {
 		store := newStore()
 		store.PutConfig(1, `"k1"`, 0)
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -81,9 +81,9 @@
 // filterChain returns the handler chain that every request passes.
 func (p *Process) filterChain() exchange.Handler {
 	if p.isOpenFleet() {
-		return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.throttleFilter, p.shareFilter)
+		return exchange.Chain(p.forwarder, route.Filter{}, &p.shutdownFilter, key.Filter{}, p.throttleFilter, p.shareFilter)
 	}
-	return exchange.Chain(p.forwarder, route.Filter{}, key.Filter{}, p.rateFilter, p.shareFilter)
+	return exchange.Chain(p.forwarder, route.Filter{}, &p.shutdownFilter, key.Filter{}, p.rateFilter, p.shareFilter)
 }
 
 // countEntryVMs returns the number of entry VMs that use the backend servers, this
@@ -97,14 +97,17 @@
 
 // drain closes the callers' connections without interrupting requests. During
 // Stop.Wait each answer asks the caller to use another connection; then the
-// listener is closed and running requests get Stop.Timeout to finish.
+// listener is closed, running requests get Stop.Timeout to finish, and requests that
+// still arrive are refused if they may take longer.
 func (p *Process) drain() error {
 	s := p.Settings.Stop
 	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", s.Wait, "open", p.caller.OpenConnections())
 	p.caller.StartDrain()
 	time.Sleep(s.Wait)
 	_ = level.Info(p.logger).Log("msg", "Closing the listener.", "open", p.caller.OpenConnections())
-	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
+	end := time.Now().Add(s.Timeout)
+	p.shutdownFilter.SetEnd(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := p.caller.Shutdown(ctx); err != nil {
 		_ = level.Warn(p.logger).Log("msg", "Failed to drain connections; remaining requests are aborted.", "open", p.caller.OpenConnections(), "err", err)
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -31,6 +31,7 @@
 	"lentilbend.example/lentilbend/internal/chooser"
 	"lentilbend.example/lentilbend/internal/filter/rate"
 	"lentilbend.example/lentilbend/internal/filter/share"
+	"lentilbend.example/lentilbend/internal/filter/shutdown"
 	"lentilbend.example/lentilbend/internal/filter/throttle"
 	"lentilbend.example/lentilbend/internal/fleet"
 	"lentilbend.example/lentilbend/internal/limiter"
@@ -96,11 +97,12 @@
 	throttleFilter  *throttle.Filter
 	retryBudget     backend.FleetBudget
 
-	services    *chooser.Services
-	prober      *chooser.Prober
-	shareFilter *share.Filter
-	limiter     *limiter.Limiter
-	rateFilter  *rate.Filter
+	services       *chooser.Services
+	prober         *chooser.Prober
+	shareFilter    *share.Filter
+	shutdownFilter shutdown.Filter
+	limiter        *limiter.Limiter
+	rateFilter     *rate.Filter
 	// updatesReady has an item when state updates wait to be sent.
 	updatesReady chan struct{}
 	started      time.Time
