Go on with a slow pull beside one from another peer

A VM that the store turned away got no change of the configuration at all while its link was slow: each pull was given up after 400 ms and begun anew with another peer, and over a link with a round trip of 560 ms none ended.

A pull now has 3 s; after 400 ms a second and a third peer are pulled from beside it, and the first complete answer wins. A peer that stopped still costs 400 ms.

--- a/lentilbend/internal/relay/pull.go
+++ b/lentilbend/internal/relay/pull.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -29,26 +30,58 @@
 	}
 }
 
+// maxConcurrentPulls is how many peers are pulled from at the same time.
+const maxConcurrentPulls = 3
+
 // catchUp pulls from random peers until none is known to have a newer version or
 // VM list. If a peer has other values of the same revision, it first calls
-// Resync.
+// Resync. A pull that takes longer than PullTimeout goes on beside one from another
+// peer, since the peer may have stopped or this VM's link may be slow.
 func (r *Relay) catchUp(ctx context.Context) {
 	if r.dropConflicting() && r.Resync != nil {
 		r.Resync(ctx)
 	}
-	for len(r.peersAhead()) > 0 && timer.Sleep(ctx, r.pullDelay()) {
-		ps := r.peersAhead()
-		if len(ps) == 0 {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	running := map[netip.AddrPort]bool{}
+	ended := make(chan netip.AddrPort, maxConcurrentPulls)
+	for len(r.peersAhead()) > 0 {
+		if !timer.Sleep(ctx, r.pullDelay()) {
+			return
+		}
+		ps := slices.DeleteFunc(r.peersAhead(), func(p netip.AddrPort) bool { return running[p] })
+		if len(ps) > 0 && len(running) < maxConcurrentPulls {
+			p := ps[rand.IntN(len(ps))]
+			running[p] = true
+			go func() {
+				if err := r.pull(ctx, p); err != nil && ctx.Err() == nil {
+					_ = level.Warn(r.Logger).Log("msg", "Pulling values and VM list from a peer failed.", "peer", p, "err", err)
+					r.dropAnnouncement(p)
+				}
+				ended <- p
+			}()
+		}
+		if len(running) == 0 {
 			return
 		}
-		p := ps[rand.IntN(len(ps))]
-		if err := r.pull(ctx, p); err != nil {
-			_ = level.Warn(r.Logger).Log("msg", "Pulling values and VM list from a peer failed.", "peer", p, "err", err)
-			r.dropAnnouncement(p)
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-ended:
+			delete(running, p)
+		case <-time.After(r.pullTimeout()):
 		}
 	}
 }
 
+// pullTimeout returns PullTimeout, or its default.
+func (r *Relay) pullTimeout() time.Duration {
+	if r.PullTimeout == 0 {
+		return maxPullTime
+	}
+	return r.PullTimeout
+}
+
 // pullDelay returns the random delay before a pull. It is 0 while there is no
 // table, since all requests are refused until then.
 func (r *Relay) pullDelay() time.Duration {
@@ -114,11 +147,7 @@
 // pullSince pulls the values that changed after a revision, and reports whether
 // they could be applied.
 func (r *Relay) pullSince(ctx context.Context, p netip.AddrPort, since uint64) (bool, error) {
-	t := r.PullTimeout
-	if t == 0 {
-		t = defaultPullTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, t)
+	ctx, cancel := context.WithTimeout(ctx, maxPullTime)
 	defer cancel()
 	q := &peerpb.PullRequest{Since: since, List: r.List.Revision(), Unpacks: true}
 	a, err := r.Peers.Pull(ctx, p, q)
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -37,8 +37,8 @@
 	// maxReadAge caps the announced age of the last read of the platform. The age
 	// is sent in milliseconds plus 1, since 0 means that no read is known.
 	maxReadAge = time.Hour
-	// defaultPullTimeout is the timeout of one pull if Relay.PullTimeout is 0.
-	defaultPullTimeout = 3 * time.Second
+	// maxPullTime is the timeout of one pull.
+	maxPullTime = 3 * time.Second
 )
 
 // Peers sends messages to other entry VMs and pulls from them.
@@ -60,9 +60,8 @@
 	// ReadAge returns how long ago this VM last read the platform up to its newest
 	// revision; false if this VM does not read it. ReadAge may be nil.
 	ReadAge func(now time.Time) (time.Duration, bool)
-	// PullTimeout is the timeout of one pull; 0 means 3 s. The VM that announced a
-	// version may have stopped since, and the version can then be pulled from
-	// another one.
+	// PullTimeout is the time after which a version is also pulled from another VM;
+	// 0 means 3 s. The VM that announced it may have stopped since.
 	PullTimeout time.Duration
 	// ForwardsReads reports whether this VM announces to its members that a peer
 	// has read the platform; coordinators that do not read it themselves do. It may
