Parse the notices of servers in one place

Answers to requests and to probes are parsed by the same function. An answer that arrives after its request was rerouted now counts too, if it has the request's ID.

--- a/internal/choice/notice.go
+++ b/internal/choice/notice.go
@@ -1,8 +1,11 @@
 package choice
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
+
+	"lentilbend.example/internal/dialect"
 )
 
 // Notice is what a server says of itself in the header of an answer. It applies to
@@ -14,6 +17,20 @@
 	Pause time.Duration
 }
 
+// ParseNotice returns the notice in the header of an answer. An answer with status 421
+// comes from another server at the address and has none.
+func ParseNotice(d *dialect.Dialect, status int, h http.Header) Notice {
+	var n Notice
+	if status == http.StatusMisdirectedRequest {
+		return n
+	}
+	n.Leaving = d.IsLeaving != nil && d.IsLeaving(h)
+	if status == http.StatusServiceUnavailable {
+		n.Pause = dialect.ParseRetryAfter(h)
+	}
+	return n
+}
+
 // maxPause bounds the pause that a server may ask for.
 const maxPause = time.Hour
 
--- a/lentilbend/internal/backend/outcome.go
+++ b/lentilbend/internal/backend/outcome.go
@@ -67,6 +67,7 @@
 // handleAnswer decides by an answer's header whether to pass the answer on, and
 // does so.
 func (f *forwarding) handleAnswer(call choice.Call, c *pool.Conn, s *attemptState, a *http.Response) result {
+	f.recordNotice(call, a)
 	if !s.CompareAndSwap(stateWaiting, stateAnswered) {
 		f.mayHaveRun = true
 		c.Close()
@@ -81,7 +82,6 @@
 		f.endCall(call, choice.BadAnswer{})
 		return broken{}
 	}
-	f.recordNotice(call, a)
 	if f.dialect.NotRun(a.StatusCode, a.Header) {
 		f.discardBody(c, a)
 		f.endCall(call, choice.Shed{Load: f.loadReport(a.Header)})
@@ -96,17 +96,10 @@
 	return f.passAnswer(pendingAnswer{response: a, conn: c, call: call, firstByte: firstByte, load: f.loadReport(a.Header)})
 }
 
-// recordNotice records what the server says of itself in the answer. A 421 comes
-// from another server at the address.
+// recordNotice records what the server says of itself in the answer.
 func (f *forwarding) recordNotice(call choice.Call, a *http.Response) {
-	if a.StatusCode == http.StatusMisdirectedRequest {
-		return
-	}
-	n := choice.Notice{Leaving: f.dialect.IsLeaving != nil && f.dialect.IsLeaving(a.Header)}
-	if a.StatusCode == http.StatusServiceUnavailable {
-		n.Pause = dialect.ParseRetryAfter(a.Header)
-	}
-	if n != (choice.Notice{}) {
+	n := choice.ParseNotice(f.dialect, a.StatusCode, a.Header)
+	if n != (choice.Notice{}) && f.matchesRequest(a) {
 		call.Record(f.forwarder.now(), n)
 	}
 }
--- a/lentilbend/internal/chooser/probe.go
+++ b/lentilbend/internal/chooser/probe.go
@@ -144,12 +144,8 @@
 	if p.Dialect == nil {
 		return
 	}
-	n := choice.Notice{Leaving: p.Dialect.IsLeaving != nil && p.Dialect.IsLeaving(w.Header)}
-	if w.StatusCode == http.StatusServiceUnavailable {
-		n.Pause = dialect.ParseRetryAfter(w.Header)
+	n := choice.ParseNotice(p.Dialect, w.StatusCode, w.Header)
+	if n != (choice.Notice{}) {
+		v.set.RecordProbeNotice(time.Now(), a, w.Header.Get(p.Dialect.ServerName), n)
 	}
-	if n == (choice.Notice{}) {
-		return
-	}
-	v.set.RecordProbeNotice(time.Now(), a, w.Header.Get(p.Dialect.ServerName), n)
 }
