Give up the oldest pull when too many run, and name the hedge delay

The oldest pull is now given up for another peer.

PullTimeout is named PullHedgeDelay, since it no longer ends a pull. WantsNoRequests, which only tests used, is gone.

--- a/internal/choice/notice.go
+++ b/internal/choice/notice.go
@@ -74,15 +74,6 @@
 	}
 }
 
-// WantsNoRequests reports whether a notice of the server at an address is in force.
-func (s *Set) WantsNoRequests(now time.Time, a netip.AddrPort) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.advanceClock(now)
-	v := s.find(a)
-	return v != nil && v.notices.inForce(s.now)
-}
-
 // absentServer is a server with a notice that the table no longer contains.
 type absentServer struct {
 	*server
--- a/internal/choice/notice_test.go
+++ b/internal/choice/notice_test.go
@@ -29,6 +29,15 @@
 			b.answer(c, idleReport)
 		}
 	}
+	// wantsNoRequests reports whether the notice is in force.
+	wantsNoRequests := func(b *harness) bool {
+		for _, d := range b.set.Dump().Servers {
+			if d.Address == noted {
+				return d.Leaving || d.PauseLeft > 0
+			}
+		}
+		return false
+	}
 	sendAll := func(b *harness) map[netip.AddrPort]int {
 		return b.send(200, func(c choice.Call) {
 			b.advance(time.Millisecond)
@@ -83,7 +92,7 @@
 			b.advance(10 * time.Second)
 			Expect(b.set.ProbeCandidates(b.now, "", nil, 3, time.Millisecond)).NotTo(ContainElement(noted))
 			Expect(b.set.ReportOlderThan(b.now, noted, time.Millisecond)).To(BeFalse())
-			Expect(b.set.WantsNoRequests(b.now, noted)).To(BeTrue())
+			Expect(wantsNoRequests(b)).To(BeTrue())
 		}
 	})
 
@@ -91,15 +100,15 @@
 		b := notedHarness(3, choice.Notice{Leaving: true})
 		b.servers[1].Name = "next"
 		b.update()
-		Expect(b.set.WantsNoRequests(b.now, noted)).To(BeFalse())
+		Expect(wantsNoRequests(b)).To(BeFalse())
 
 		b.servers[1].Born = b.now
 		b.update()
 		b.set.RecordProbeNotice(b.now, noted, "next", choice.Notice{Leaving: true})
-		Expect(b.set.WantsNoRequests(b.now, noted)).To(BeTrue())
+		Expect(wantsNoRequests(b)).To(BeTrue())
 		b.servers[1].Born = b.now.Add(time.Second)
 		b.update()
-		Expect(b.set.WantsNoRequests(b.now, noted)).To(BeFalse())
+		Expect(wantsNoRequests(b)).To(BeFalse())
 	})
 
 	It("of a probe is ignored if it is from another run at the address", func() {
@@ -107,7 +116,7 @@
 		b.servers[1].Name = "i-2"
 		b.update()
 		b.set.RecordProbeNotice(b.now, noted, "i-1", choice.Notice{Leaving: true})
-		Expect(b.set.WantsNoRequests(b.now, noted)).To(BeFalse())
+		Expect(wantsNoRequests(b)).To(BeFalse())
 	})
 
 	It("is remembered while the table lacks the server", func() {
@@ -118,6 +127,6 @@
 		b.advance(10 * time.Second)
 		b.servers = all
 		b.update()
-		Expect(b.set.WantsNoRequests(b.now, noted)).To(BeTrue())
+		Expect(wantsNoRequests(b)).To(BeTrue())
 	})
 })
--- a/lentilbend/internal/relay/delay_test.go
+++ b/lentilbend/internal/relay/delay_test.go
@@ -77,14 +77,14 @@
 			members = all
 		}
 		v.relay = &relay.Relay{
-			Store:         &store.Store{Bus: b, Logger: log.NewNopLogger()},
-			List:          &platform.ListStore{Bus: b},
-			Bus:           b,
-			Peers:         v,
-			Logger:        log.NewNopLogger(),
-			Members:       func() []netip.AddrPort { return members },
-			PullTimeout:   400 * time.Millisecond,
-			ForwardsReads: func() bool { return i == 1 },
+			Store:          &store.Store{Bus: b, Logger: log.NewNopLogger()},
+			List:           &platform.ListStore{Bus: b},
+			Bus:            b,
+			Peers:          v,
+			Logger:         log.NewNopLogger(),
+			Members:        func() []netip.AddrPort { return members },
+			PullHedgeDelay: 400 * time.Millisecond,
+			ForwardsReads:  func() bool { return i == 1 },
 		}
 		w := &platform.Watcher{
 			Source:           v,
--- a/lentilbend/internal/relay/pull.go
+++ b/lentilbend/internal/relay/pull.go
@@ -35,31 +35,31 @@
 
 // catchUp pulls from random peers until none is known to have a newer version or
 // VM list. If a peer has other values of the same revision, it first calls
-// Resync. A pull that takes longer than PullTimeout goes on beside one from another
-// peer, since the peer may have stopped or this VM's link may be slow.
+// Resync. A pull that takes longer than PullHedgeDelay goes on beside one from another
+// peer, since the peer may have stopped or this VM's link may be slow. If too many run,
+// the oldest one is given up for another peer.
 func (r *Relay) catchUp(ctx context.Context) {
 	if r.dropConflicting() && r.Resync != nil {
 		r.Resync(ctx)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	running := map[netip.AddrPort]bool{}
-	ended := make(chan netip.AddrPort, maxConcurrentPulls)
+	var running []runningPull
+	ended := make(chan netip.AddrPort)
 	for len(r.peersAhead()) > 0 {
 		if !timer.Sleep(ctx, r.pullDelay()) {
 			return
 		}
-		ps := slices.DeleteFunc(r.peersAhead(), func(p netip.AddrPort) bool { return running[p] })
-		if len(ps) > 0 && len(running) < maxConcurrentPulls {
-			p := ps[rand.IntN(len(ps))]
-			running[p] = true
-			go func() {
-				if err := r.pull(ctx, p); err != nil && ctx.Err() == nil {
-					_ = level.Warn(r.Logger).Log("msg", "Pulling values and VM list from a peer failed.", "peer", p, "err", err)
-					r.dropAnnouncement(p)
-				}
-				ended <- p
-			}()
+		ps := slices.DeleteFunc(r.peersAhead(), func(p netip.AddrPort) bool {
+			return slices.ContainsFunc(running, func(u runningPull) bool { return u.peer == p })
+		})
+		if len(ps) > 0 {
+			if len(running) == maxConcurrentPulls {
+				running[0].cancel()
+				r.dropAnnouncement(running[0].peer)
+				running = running[1:]
+			}
+			running = append(running, r.startPull(ctx, ps[rand.IntN(len(ps))], ended))
 		}
 		if len(running) == 0 {
 			return
@@ -68,18 +68,42 @@
 		case <-ctx.Done():
 			return
 		case p := <-ended:
-			delete(running, p)
-		case <-time.After(r.pullTimeout()):
+			running = slices.DeleteFunc(running, func(u runningPull) bool { return u.peer == p })
+		case <-time.After(r.pullHedgeDelay()):
 		}
 	}
 }
 
-// pullTimeout returns PullTimeout, or its default.
-func (r *Relay) pullTimeout() time.Duration {
-	if r.PullTimeout == 0 {
+// runningPull is a pull from a peer in progress.
+type runningPull struct {
+	peer   netip.AddrPort
+	cancel context.CancelFunc
+}
+
+// startPull starts a pull from a peer and sends the peer to ended when it has ended,
+// unless ctx ends before.
+func (r *Relay) startPull(ctx context.Context, p netip.AddrPort, ended chan<- netip.AddrPort) runningPull {
+	pullCtx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		r.pullOrDrop(pullCtx, p)
+		if pullCtx.Err() != nil {
+			return
+		}
+		select {
+		case ended <- p:
+		case <-ctx.Done():
+		}
+	}()
+	return runningPull{peer: p, cancel: cancel}
+}
+
+// pullHedgeDelay returns PullHedgeDelay, or its default.
+func (r *Relay) pullHedgeDelay() time.Duration {
+	if r.PullHedgeDelay == 0 {
 		return maxPullTime
 	}
-	return r.PullTimeout
+	return r.PullHedgeDelay
 }
 
 // pullDelay returns the random delay before a pull. It is 0 while there is no
@@ -129,6 +153,16 @@
 	delete(r.announcements, p)
 }
 
+// pullOrDrop pulls from a peer, and drops its announcement if that fails.
+func (r *Relay) pullOrDrop(ctx context.Context, p netip.AddrPort) {
+	err := r.pull(ctx, p)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	_ = level.Warn(r.Logger).Log("msg", "Pulling values and VM list from a peer failed.", "peer", p, "err", err)
+	r.dropAnnouncement(p)
+}
+
 // pull pulls newer values and a newer VM list from a peer and applies them. If
 // the changed values cannot be applied to those held here, it pulls all values;
 // if these cannot be applied either, it drops the peer's announcement.
--- a/lentilbend/internal/relay/relay.go
+++ b/lentilbend/internal/relay/relay.go
@@ -60,9 +60,9 @@
 	// ReadAge returns how long ago this VM last read the platform up to its newest
 	// revision; false if this VM does not read it. ReadAge may be nil.
 	ReadAge func(now time.Time) (time.Duration, bool)
-	// PullTimeout is the time after which a version is also pulled from another VM;
+	// PullHedgeDelay is the time after which a version is also pulled from another VM;
 	// 0 means 3 s. The VM that announced it may have stopped since.
-	PullTimeout time.Duration
+	PullHedgeDelay time.Duration
 	// ForwardsReads reports whether this VM announces to its members that a peer
 	// has read the platform; coordinators that do not read it themselves do. It may
 	// be nil.
--- a/lentilbend/internal/relay/relay_test.go
+++ b/lentilbend/internal/relay/relay_test.go
@@ -166,7 +166,7 @@
 	It("pulls from another VM when the one that announced a version does not answer", func() {
 		w, rs := startFleet(3)
 		for _, r := range rs {
-			r.PullTimeout = 300 * time.Millisecond
+			r.PullHedgeDelay = 300 * time.Millisecond
 		}
 		stopped, other := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7")
 		w.mu.Lock()
@@ -180,6 +180,26 @@
 		Eventually(func() uint64 { return rs[2].Store.Accepted().Revision }, 1500*time.Millisecond).Should(Equal(uint64(3)))
 	})
 
+	// Guards against pulls from peers that stopped, which keep this VM from pulling from
+	// the one that is left.
+	It("pulls from the only VM that answers within the hedge delay for each that stopped", func() {
+		w, rs := startFleet(8)
+		vm := rs[7]
+		vm.PullHedgeDelay = 100 * time.Millisecond
+		w.mu.Lock()
+		for i := range 6 {
+			w.unresponsive[netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7)] = true
+		}
+		w.mu.Unlock()
+		applyEdit(rs[6], 3)
+		for i := range 7 {
+			from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7)
+			vm.Receive(time.Now(), from, []*peerpb.ConfigMessage{{Accepted: 3, Digest: rs[6].Store.Accepted().Digest}})
+		}
+		// Each pull also waits up to 200 ms before it starts.
+		Eventually(func() uint64 { return vm.Store.Accepted().Revision }, 7*300*time.Millisecond).Should(Equal(uint64(3)))
+	})
+
 	It("does not revert to an older version", func() {
 		_, rs := startFleet(3)
 		applyEdit(rs[0], 5)
--- a/lentilbend/internal/serve/config.go
+++ b/lentilbend/internal/serve/config.go
@@ -40,7 +40,7 @@
 	p.dumpers["Relay"] = p.relay
 	if p.isOpenFleet() {
 		p.buildWatcher()
-		p.relay.PullTimeout = pullTimeout
+		p.relay.PullHedgeDelay = pullHedgeDelay
 		p.relay.ReadAge = p.watcher.ReadAge
 		p.relay.Register(p.registry)
 		p.relay.ForwardsReads = func() bool { return p.openFleet.State().Coordinates && !p.readsStore() }
--- a/lentilbend/internal/serve/open.go
+++ b/lentilbend/internal/serve/open.go
@@ -29,11 +29,11 @@
 // VMs may use; the rest covers VMs that do not know of each other yet.
 const sharedBudgetRatio = 0.8
 
-// pullTimeout is the time after which a version is also pulled from another peer. A
+// pullHedgeDelay is the time after which a version is also pulled from another peer. A
 // table of 100 KB takes about 100 ms over the slowest link, and two more pulls fit into
 // the time within which a change
 // must be in force on all VMs.
-const pullTimeout = 400 * time.Millisecond
+const pullHedgeDelay = 400 * time.Millisecond
 
 // storeReaderCount is how many coordinators wait for changes in the platform's
 // store. With two, the loss of one delays no change.
