--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -219,16 +219,18 @@
 	return ps, nil
 }
 
-// config is the operator's configuration: three tenants without a limit and two
-// routes, one safe and one unsafe, to one service each.
+// config is the operator's configuration: three tenants without a limit and three
+// routes to one service each: safe, download and unsafe.
 const config = `{"version":"r%d",
 "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout":"5s","idle_timeout":"15s"},
 "tenants":[{"name":"north","api_keys":["north-key-4f7a1c"]},{"name":"south","api_keys":["south-key-93be02"]}],
 "listeners":[{"host":"a.example","rule_set":[
  {"name":"look","kind":"safe","target_latency":"400ms","match":{"prefix":"/look/"},"action":{"service":"cat","timeout":"1500ms","attempts":2}},
+ {"name":"sheet","kind":"download","target_latency":"400ms","match":{"prefix":"/sheet/"},"action":{"service":"sheets","timeout":"1500ms","attempts":2}},
  {"name":"hold","kind":"unsafe","target_latency":"400ms","match":{"prefix":"/hold/"},"action":{"service":"till","timeout":"1500ms","attempts":2}}]}],
 "clusters":[
  {"name":"cat","health_check_path":"/health","connection_limit":220,"cold_start":"3s","cold_per_s":11},
+ {"name":"sheets","health_check_path":"/health","connection_limit":220,"cold_start":"3s","cold_per_s":11},
  {"name":"till","health_check_path":"/health","connection_limit":220,"cold_start":"3s","cold_per_s":11}]}`
 
 const northKey = "north-key-4f7a1c"
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -14,7 +14,7 @@
 
 const (
 	instanceSlots = 6
-	workTime      = 20 * time.Millisecond
+	workTime      = 40 * time.Millisecond
 )
 
 // instance is a stand-in of an instance. It follows the pages of the platform.
@@ -34,10 +34,15 @@
 	// Each so many-th answer is spoiled, and each so many-th request rejected before its
 	// body is in; 0 for none.
 	spoilEvery, rejectEvery int
+	// trailers is set if answers have no length and a trailer.
+	trailers bool
+	// slow multiplies the work time; 0 is 1.
+	slow float64
 }
 
 // execution is one request that an instance ran.
 type execution struct {
+	service                                   string
 	instance, requestID, method, path, tenant string
 	body                                      string
 	status                                    int
@@ -93,7 +98,7 @@
 func (i *instance) load() string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d,100", min(i.running, instanceSlots), max(0, i.running-instanceSlots), instanceSlots)
+	return fmt.Sprintf("%d,%d,%d,%d", min(i.running, instanceSlots), max(0, i.running-instanceSlots), instanceSlots, int(100*max(1, i.slow)))
 }
 
 func (i *instance) serve(w http.ResponseWriter, r *http.Request) {
@@ -124,7 +129,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	spoiled := i.begin(r, id, string(b))
-	time.Sleep(workTime)
+	time.Sleep(i.workTime())
 	i.mu.Lock()
 	i.running--
 	i.mu.Unlock()
@@ -133,6 +138,10 @@
 		i.writeSpoiled(w, id)
 		return
 	}
+	if i.trailers {
+		i.writeWithTrailer(w, id)
+		return
+	}
 	_, _ = io.WriteString(w, i.bodyFor(id))
 }
 
@@ -142,7 +151,7 @@
 	defer i.mu.Unlock()
 	i.running++
 	i.answers++
-	e := execution{instance: i.id, requestID: id, method: r.Method, path: r.URL.RequestURI(), tenant: r.Header.Get("Tenant-Name"), body: body, status: http.StatusOK}
+	e := execution{service: i.service, instance: i.id, requestID: id, method: r.Method, path: r.URL.RequestURI(), tenant: r.Header.Get("Tenant-Name"), body: body, status: http.StatusOK}
 	e.spoiled = i.spoilEvery > 0 && i.answers%i.spoilEvery == 0
 	i.runs = append(i.runs, e)
 	i.record.logf("instance %s: runs %s %s %s tenant=%s body=%d bytes %s spoiled=%t", i.id, id, e.method, e.path, e.tenant, len(body), digest(body), e.spoiled)
@@ -220,3 +229,40 @@
 	}
 	d.record.logf("trouble begins or ends at %d of %d instances", n, len(d.instances))
 }
+
+// workTime returns how long the next request takes.
+func (i *instance) workTime() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return time.Duration(float64(workTime) * max(1, i.slow))
+}
+
+// setSlow makes the work of all instances of a service take x times as long.
+func (d *deployment) setSlow(service string, x float64) {
+	for _, i := range d.instances {
+		if i.service == service {
+			i.mu.Lock()
+			i.slow = x
+			i.mu.Unlock()
+		}
+	}
+	d.record.logf("trouble: work takes %g times as long at all instances of %s", x, service)
+}
+
+// trailerFields are the fields that an instance sends behind its answer.
+var trailerFields = []string{"Digest", "Server-Timing"}
+
+// writeWithTrailer writes an answer in chunks, with its digest and other fields in
+// the trailer (RFC 9110, section 6.5).
+func (i *instance) writeWithTrailer(w http.ResponseWriter, id string) {
+	h, b := w.Header(), i.bodyFor(id)
+	for _, n := range []string{"Cache-Control", "Content-Language", "Etag", "Last-Modified", "Vary", "Via", "Accept-Ranges", "Expires"} {
+		h.Set(n, "x")
+	}
+	h["Trailer"] = trailerFields
+	_, _ = io.WriteString(w, b)
+	_ = http.NewResponseController(w).Flush()
+	for _, n := range trailerFields {
+		h.Set(n, digest(n+b))
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(r *run) error{
 	"status-below-100": playStatusBelow100,
 	"early-reject":     playEarlyReject,
+	"slow-trailers":    playTrailers,
 }
 
 // run is the state of one run.
