--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,6 +21,8 @@
 // entry VMs.
 type deployment struct {
 	record *record
+	// grace is the platform's grace period; 0 for 6 s.
+	grace time.Duration
 
 	mu        sync.Mutex
 	dir       string
@@ -118,7 +121,7 @@
 		`{{listen_addresses.control_plane}}`, v.peer,
 		`{{#seed_addresses}}"{{.}}"{{,}}{{/seed_addresses}}`, seeds,
 		`{{platform.address}}`, d.store.Address().String(),
-		`{{bounds.grace_period}}`, "6s",
+		`{{bounds.grace_period}}`, cmp.Or(d.grace, 6*time.Second).String(),
 		`{{limits.cpu_share}}`, "0.32",
 		`{{bounds.quota_overage}}`, "0.25",
 		`{{bounds.quota_tolerance}}`, "20",
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -36,6 +37,8 @@
 	spoilEvery, rejectEvery int
 	// trailers is set if answers have no length and a trailer.
 	trailers bool
+	// work replaces workTime; 0 for none.
+	work time.Duration
 	// slow multiplies the work time; 0 is 1.
 	slow float64
 }
@@ -234,7 +237,7 @@
 func (i *instance) workTime() time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return time.Duration(float64(workTime) * max(1, i.slow))
+	return time.Duration(float64(cmp.Or(i.work, workTime)) * max(1, i.slow))
 }
 
 // setSlow makes the work of all instances of a service take x times as long.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"status-below-100": playStatusBelow100,
 	"early-reject":     playEarlyReject,
 	"slow-trailers":    playTrailers,
+	"late-stop":        playLateStop,
 }
 
 // run is the state of one run.
