--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -62,6 +62,7 @@
 	time.AfterFunc(maxRunTime, func() {
 		fmt.Fprintln(os.Stderr, "the case took too long")
 		r.dep.kill()
+		rec.close()
 		os.Exit(exitNotRun)
 	})
 	if err := cases[os.Args[1]](r); err != nil {
