Pass on no answer whose status line is not that of a final answer

net/http's client accepts any three digits as a status and any version of HTTP. The forwarder passed such answers on, and the callers' side took a status below 200 for an informational answer and then wrote 200 with the body.

An answer now counts only with a version of HTTP/1 and a status from 200 to 599, without a body where the status allows none. An informational answer that announces a body ends the attempt, since a final one was spoiled. The callers' side panics at an invalid status, as net/http does.

--- a/lentilbend/internal/backend/answer_test.go
+++ b/lentilbend/internal/backend/answer_test.go
@@ -64,6 +64,39 @@
 		Entry("empty", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, "0"),
 	)
 
+	// Guards against bytes that are no answer, or a success that the server never gave, in
+	// place of an answer whose status line is wrong.
+	DescribeTable("passes on no answer whose status line is not that of a final answer", func(line, extra string) {
+		for _, framing := range []string{"Content-Length: 2\r\n\r\nok", "Content-Length: 2\r\n\r\nok\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"} {
+			s := newServer(respond(line + "\r\nRequest-Id: " + requestID + "\r\nServer-Signature: s1\r\n" + extra + framing))
+			for _, e := range []*entry{newEntry(s.address()), newDeploymentEntry(s.address())} {
+				a, b := e.request("POST", "/sale/1", "Authorization", "Bearer "+goodKey)
+				Expect(a.StatusCode).To(Equal(http.StatusBadGateway))
+				Expect(a.Header).NotTo(HaveKey("Server-Signature"))
+				Expect(b).To(ContainSubstring(string(exchange.RunUnknown)))
+			}
+			Expect(s.runCount()).To(Equal(2))
+		}
+	},
+		Entry("000", "HTTP/1.1 000 OK", ""),
+		Entry("000, said not to have run", "HTTP/1.1 000 OK", "Not-Executed: 1\r\nServer-Run: not-run\r\n"),
+		Entry("099", "HTTP/1.1 099 OK", ""),
+		Entry("-00", "HTTP/1.1 -00 OK", ""),
+		Entry("+20", "HTTP/1.1 +20 OK", ""),
+		Entry("100 with a body", "HTTP/1.1 100 OK", ""),
+		Entry("101", "HTTP/1.1 101 OK", ""),
+		Entry("199 with a body", "HTTP/1.1 199 OK", ""),
+		Entry("204 with a body", "HTTP/1.1 204 OK", ""),
+		Entry("600", "HTTP/1.1 600 OK", ""),
+		Entry("999", "HTTP/1.1 999 OK", ""),
+		Entry("2000", "HTTP/1.1 2000 OK", ""),
+		Entry("20", "HTTP/1.1 20 OK", ""),
+		Entry("no number", "HTTP/1.1 2x0 OK", ""),
+		Entry("HTTP/0.1", "HTTP/0.1 200 OK", ""),
+		Entry("HTTP/2.0", "HTTP/2.0 200 OK", ""),
+		Entry("HTTP/9.9", "HTTP/9.9 200 OK", ""),
+	)
+
 	It("passes on early hints and trailers", func() {
 		e := newEntry(newServer(respond("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\nX-More: 8\r\n\r\n")).address())
--- a/lentilbend/internal/backend/informational.go
+++ b/lentilbend/internal/backend/informational.go
@@ -50,6 +50,9 @@
 	if i.count++; i.count > maxInformational {
 		return errTooManyInformational
 	}
+	if err := checkInformational(from); err != nil {
+		return err
+	}
 	if i.ended || i.suppressed || status == http.StatusContinue {
 		return nil
 	}
--- a/lentilbend/internal/backend/outcome.go
+++ b/lentilbend/internal/backend/outcome.go
@@ -76,7 +76,7 @@
 	}
 	firstByte := c.TimeToFirstByte()
 	c.RecordAnswer(firstByte)
-	if !f.matchesRequest(a) {
+	if !isValidFinal(a) || !f.matchesRequest(a) {
 		f.mayHaveRun = true
 		c.Close()
 		f.endCall(call, choice.BadAnswer{})
@@ -99,7 +99,7 @@
 // recordNotice records what the server says of itself in the answer.
 func (f *forwarding) recordNotice(call choice.Call, a *http.Response) {
 	n := choice.ParseNotice(f.dialect, a.StatusCode, a.Header)
-	if n != (choice.Notice{}) && f.matchesRequest(a) {
+	if n != (choice.Notice{}) && isValidFinal(a) && f.matchesRequest(a) {
 		call.Record(f.forwarder.now(), n)
 	}
 }
@@ -115,15 +115,11 @@
 	return a.Header.Get(n) == f.exchange.ID
 }
 
-// mustNotPass reports whether an answer must not be passed on: a change of
-// protocol, a success that the server did not sign or that was re-encoded on
-// the way, or, if the dialect has StatusTellsNotRun, a status that would tell
-// the caller that the request did not run. With that dialect it also holds back
+// mustNotPass reports whether an answer must not be passed on: a success that the
+// server did not sign or that was re-encoded on the way, or, if the dialect has
+// StatusTellsNotRun, a status that would tell the caller that the request did not run. With that dialect it also holds back
 // a server error while the request can still be sent to another server.
 func (f *forwarding) mustNotPass(a *http.Response) bool {
-	if a.StatusCode == http.StatusSwitchingProtocols {
-		return true
-	}
 	if f.dialect.Signature != "" && a.StatusCode/100 == 2 &&
 		(a.Header.Get(f.dialect.Signature) == "" || a.Header.Get("Content-Encoding") != "") {
 		return true
--- a/lentilbend/internal/http1/response.go
+++ b/lentilbend/internal/http1/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -82,8 +83,12 @@
 	return r.header
 }
 
-// WriteHeader sets the status. Informational answers are passed on at once.
+// WriteHeader sets the status. Informational answers are passed on at once. It panics,
+// as that of net/http does, if the status is not one of HTTP.
 func (r *response) WriteHeader(status int) {
+	if status < http.StatusContinue || status > 999 {
+		panic(fmt.Sprintf("http1: invalid status %d", status))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.writeHeader(status)
--- a/lentilbend/internal/http1/server_test.go
+++ b/lentilbend/internal/http1/server_test.go
@@ -483,3 +483,23 @@
 		Eventually(ended, "1s").Should(Receive(MatchError(errCallerGone)))
 	})
 })
+
+var _ = Describe("an invalid status", func() {
+	// Guards against bytes that are no answer, with a success behind them.
+	DescribeTable("closes the connection in place of an answer", func(status int) {
+		s := startServer(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "ok")
+		})
+		c, r := s.dial()
+		send(c, get("/"))
+		b, err := io.ReadAll(r)
+		Expect(b).To(BeEmpty())
+		Expect(err).To(Or(Not(HaveOccurred()), MatchError(syscall.ECONNRESET)))
+	},
+		Entry("0", 0),
+		Entry("99", 99),
+		Entry("1000", 1000),
+		Entry("-1", -1),
+	)
+})
