Let no attempt that has ended read the caller's body

All attempts read the caller's body through one reader. net/http's transport may wait in it after the attempt has ended, whatever ended it, and then takes the next bytes for a connection that is closed. "No byte was read yet" did not say that nobody was reading.

What arrives now goes to a window of 32 KiB, and each attempt reads the window with an offset of its own. The end of an attempt ends its reader before it is decided whether another one may follow, so that an open read only adds to the window. A body can be sent again until the window has moved on; each attempt has a trailer of its own. Requests in chunks are sent as such for every method, since net/http's probe of a GET or DELETE read ahead too.

--- a/lentilbend/internal/backend/attempt.go
+++ b/lentilbend/internal/backend/attempt.go
@@ -106,18 +106,16 @@
 // and takes the retry from the budget where it costs one. After rerouted it was
 // taken already.
 func (f *forwarding) takeRetry(r result) bool {
-	if len(f.tried) >= f.maxAttempts() || !f.body.replayable() {
+	if len(f.tried) >= f.maxAttempts() {
 		return false
 	}
 	switch r.(type) {
-	case notSent:
-		return true
-	case rerouted:
-		return true
+	case notSent, rerouted:
+		return f.body.rewind()
 	case shed:
-		return f.callerAttempt == firstAttempt && f.budget.take()
+		return f.callerAttempt == firstAttempt && f.body.rewind() && f.budget.take()
 	case broken:
-		return f.mayRepeatAfterRun() && f.budget.take()
+		return f.mayRepeatAfterRun() && f.body.rewind() && f.budget.take()
 	}
 	return false
 }
@@ -289,6 +287,7 @@
 		f.header[f.dialect.Server] = f.headerValue(f.serverName)
 	}
 	r := f.exchange.Request
+	body, trailer := f.body.newReader()
 	o := &http.Request{
 		Method: r.Method,
 		URL: &url.URL{
@@ -297,11 +296,12 @@
 			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 		},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header:        f.header,
-		Body:          f.body.newReader(),
-		ContentLength: f.body.length,
-		Host:          r.Host,
-		Trailer:       f.body.trailer,
+		Header:           f.header,
+		Body:             body,
+		ContentLength:    f.body.length,
+		TransferEncoding: f.body.transferEncoding(),
+		Host:             r.Host,
+		Trailer:          trailer,
 	}
 	return o.WithContext(ctx)
 }
--- a/lentilbend/internal/backend/body.go
+++ b/lentilbend/internal/backend/body.go
@@ -9,15 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"lentilbend.example/internal/dialect"
-
 	"lentilbend.example/lentilbend/internal/exchange"
-	"lentilbend.example/lentilbend/internal/filter/key"
 )
 
 // bufferSize is the size of the pooled buffers, in bytes. Bodies whose length is
-// known and at most this are buffered whole. Others are streamed; an
-// answer's body passes through such a buffer.
+// known and at most this are buffered whole. Others are streamed through such a
+// buffer, as are the bodies of answers.
 const bufferSize = 32 << 10
 
 // unreadBodyTimeout bounds how long a caller may take to send the rest of a
@@ -29,24 +26,16 @@
 
 var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
 
-// body is the body of a request on its way to backend servers. A small one is
-// buffered, so that it can be sent again; others are streamed and can be sent
-// only once.
+// body is the body of a request on its way to backend servers. A small one of known
+// length is read before it is sent; others are streamed, and can be sent again as long
+// as no more than a buffer of them was read.
 type body struct {
-	src    io.Reader
 	length int64
-	// remaining is how many more bytes may be read within the limit.
-	remaining int64
-	secret    exchange.Secret
-	dialect   *dialect.Dialect
-	// trailer is filled from callerTrailer when the body has been read.
-	callerTrailer http.Header
-	trailer       http.Header
-
-	buffer    *[bufferSize]byte
-	bytesRead atomic.Int64
-	complete  atomic.Bool
-	readErr   atomic.Pointer[error]
+	// buffer holds a small body; nil for one that is streamed.
+	buffer *[bufferSize]byte
+	stream *bodyStream
+	// complete says that the caller's body was read to its end.
+	complete atomic.Bool
 }
 
 // newBody returns the body of x.Request, which may be at most limit bytes
@@ -54,7 +43,7 @@
 // an error.
 func newBody(x *exchange.Exchange, limit int64) (*body, error) {
 	r := x.Request
-	b := &body{src: r.Body, length: r.ContentLength, remaining: limit, secret: x.Secret, dialect: x.EffectiveDialect()}
+	b := &body{length: r.ContentLength}
 	if r.ContentLength > limit {
 		return b, errTooLarge
 	}
@@ -62,9 +51,6 @@
 		b.length = 0
 		return b, nil
 	}
-	if len(r.Trailer) > 0 {
-		b.callerTrailer, b.trailer = r.Trailer, trailerNames(r.Trailer, b.dialect.Workspace)
-	}
 	c := http.NewResponseController(x.Writer)
 	_ = c.SetReadDeadline(x.Deadline)
 	if b.length > 0 && b.length <= bufferSize {
@@ -74,70 +60,36 @@
 		return b, err
 	}
 	_ = c.EnableFullDuplex()
+	b.stream = newBodyStream(x, limit, &b.complete)
 	return b, nil
 }
 
-// trailerNames returns the names of a trailer without values. It omits the
-// workspace field, which a caller must not set.
-func trailerNames(t http.Header, workspace string) http.Header {
-	h := http.Header{}
-	for n := range t {
-		h[n] = nil
-	}
-	delete(h, workspace)
-	return h
-}
-
-// newReader returns the body to send in one attempt.
-func (b *body) newReader() io.ReadCloser {
-	if b.length == 0 {
-		return http.NoBody
+// newReader returns the body to send in one attempt, and the trailer that is filled at
+// its end. Readers of earlier attempts read nothing more.
+func (b *body) newReader() (io.ReadCloser, http.Header) {
+	switch {
+	case b.length == 0:
+		return http.NoBody, nil
+	case b.buffer != nil:
+		return io.NopCloser(bytes.NewReader(b.buffer[:b.length])), nil
 	}
-	if b.buffer != nil {
-		return io.NopCloser(bytes.NewReader(b.buffer[:b.length]))
-	}
-	return b
+	r := b.stream.newReader()
+	return r, r.trailer
 }
 
-// Read reads the caller's body within the limit.
-func (b *body) Read(p []byte) (int, error) {
-	if int64(len(p)) > b.remaining+1 {
-		p = p[:b.remaining+1]
-	}
-	n, err := b.src.Read(p)
-	b.bytesRead.Add(int64(n))
-	b.remaining -= int64(n)
-	if b.remaining < 0 {
-		err = errTooLarge
-	}
-	if err == io.EOF {
-		b.complete.Store(true)
-		b.fillTrailer()
-		return n, err
-	}
-	if err != nil {
-		b.readErr.Store(&err)
+// transferEncoding returns the coding of the body towards a backend server. Without it
+// net/http would read the beginning of the body of a GET or DELETE request to find out
+// whether there is one.
+func (b *body) transferEncoding() []string {
+	if b.length < 0 {
+		return []string{"chunked"}
 	}
-	return n, err
-}
-
-// Close does nothing: net/http closes the caller's body.
-func (b *body) Close() error {
 	return nil
 }
 
-func (b *body) fillTrailer() {
-	for n := range b.trailer {
-		if vs := b.callerTrailer[n]; len(vs) > 0 {
-			b.trailer[n] = vs
-		}
-	}
-	key.StripHeader(b.trailer, b.secret, b.dialect.CredentialHeaders)
-}
-
 // streamed reports whether the body is read from the caller while it is sent.
 func (b *body) streamed() bool {
-	return b.length != 0 && b.buffer == nil
+	return b.stream != nil
 }
 
 // closeIfUnread makes an HTTP/1 connection close after the answer when the
@@ -155,15 +107,21 @@
 
 // replayable reports whether the whole body can be sent once more.
 func (b *body) replayable() bool {
-	return b.length == 0 || b.buffer != nil || b.bytesRead.Load() == 0
+	return b.stream == nil || b.stream.replayable()
+}
+
+// rewind ends the reading by earlier attempts and reports whether the whole body can
+// be sent once more.
+func (b *body) rewind() bool {
+	return b.stream == nil || b.stream.rewind()
 }
 
 // readError returns why the caller's body could not be read, or nil.
 func (b *body) readError() error {
-	if e := b.readErr.Load(); e != nil {
-		return *e
+	if b.stream == nil {
+		return nil
 	}
-	return nil
+	return b.stream.readError()
 }
 
 // releaseBuffer returns the buffer to the pool. The body must no longer be in
@@ -173,4 +131,7 @@
 		buffers.Put(b.buffer)
 		b.buffer = nil
 	}
+	if b.stream != nil {
+		b.stream.releaseWindow()
+	}
 }
--- a/lentilbend/internal/backend/entry_test.go
+++ b/lentilbend/internal/backend/entry_test.go
@@ -47,9 +47,15 @@
 }
 
 func newServer(answer func(c net.Conn, n int, r *http.Request, body string) bool) *server {
+	s := &server{answer: answer, closed: make(chan struct{}, 100)}
+	s.listener = listen(s.serve)
+	return s
+}
+
+// listen calls serve for each connection to a new listener.
+func listen(serve func(net.Conn)) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	s := &server{listener: l, answer: answer, closed: make(chan struct{}, 100)}
 	DeferCleanup(l.Close)
 	go func() {
 		for {
@@ -57,10 +63,10 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
-	return s
+	return l
 }
 
 // respond returns an answer function that writes text and keeps the connection
--- a/lentilbend/internal/backend/outcome.go
+++ b/lentilbend/internal/backend/outcome.go
@@ -40,7 +40,7 @@
 // handleUnsent handles a failed round trip of which no byte was written; it
 // returns the same as handleError.
 func (f *forwarding) handleUnsent(call choice.Call, err error) (result, bool) {
-	if !errors.Is(err, pool.ErrDeadlinePassed) && f.body.replayable() {
+	if !errors.Is(err, pool.ErrDeadlinePassed) && f.body.rewind() {
 		return nil, true
 	}
 	f.endCall(call, choice.NotSent{})
