Refuse requests that may outlast a stop from its beginning on

The filter that refuses requests whose deadline is after the end of the shutdown worked only after Stop.Wait, which is 0.42 of the grace period: the longer that is, the later it began, and a request that fits no part of a short one was taken all the same.

The end is now fixed when the signal arrives. A refusal costs the caller a round trip; a sale that is cut has an unknown outcome.

--- a/lentilbend/internal/serve/open_test.go
+++ b/lentilbend/internal/serve/open_test.go
@@ -353,6 +353,60 @@
 		Eventually(v.ended, "3s").Should(Receive(Succeed()))
 	})
 
+	// Guards against requests that are taken early in a graceful shutdown and cut at its
+	// end, with a grace period that is short beside the requests.
+	DescribeTable("answers or refuses all requests of a graceful shutdown", func(grace time.Duration) {
+		store, server := newStore(), newServer("i-1")
+		server.ProcessingTime = 900 * time.Millisecond
+		store.PutConfig(1, `"k1"`, 0)
+		store.PutServer(server, false)
+		v := newVM("127.0.0.1", store.Address())
+		v.process.Settings.Stop = settings.Stop{Grace: grace}
+		v.process.Settings.Stop.ApplyGrace()
+		v.start()
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		const interval = 40 * time.Millisecond
+		conns := make([]net.Conn, grace/interval)
+		for i := range conns {
+			c, err := net.Dial("tcp", strings.TrimPrefix(v.callerURL, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			conns[i] = c
+		}
+		cut := make(chan string, len(conns))
+		var group sync.WaitGroup
+		v.process.Signals <- syscall.SIGTERM
+		for i, c := range conns {
+			time.Sleep(interval)
+			group.Go(func() {
+				id := fmt.Sprint("request-", i)
+				r, err := platformtest.NewRequest(context.Background(), "POST", v.callerURL, "/buy/1", "k1", id, time.Minute)
+				if err == nil {
+					err = r.Write(c)
+				}
+				if err == nil {
+					_, err = http.ReadResponse(bufio.NewReader(c), r)
+				}
+				if err != nil {
+					cut <- id + " north"
+				}
+			})
+		}
+		Eventually(v.ended, "5s").Should(Receive())
+		// The connections end with the process.
+		_ = v.process.caller.Close()
+		group.Wait()
+		close(cut)
+		for id := range cut {
+			Expect(server.RunSummaries()).NotTo(ContainElement(id))
+		}
+	},
+		Entry("of 1 s", time.Second),
+		Entry("of 1.5 s", 1500*time.Millisecond),
+		Entry("of 1.8 s", 1800*time.Millisecond),
+		Entry("of 3 s", 3*time.Second),
+	)
+
 	It("keeps serving after SIGHUP", func() {
 		store := newStore()
 		store.PutConfig(1, `"k1"`, 0)
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -97,16 +97,16 @@
 
 // drain closes the callers' connections without interrupting requests. During
 // Stop.Wait each answer asks the caller to use another connection; then the
-// listener is closed, running requests get Stop.Timeout to finish, and requests that
-// still arrive are refused if they may take longer.
+// listener is closed, and running requests get Stop.Timeout to finish. From the
+// beginning on, requests that may take longer than both are refused.
 func (p *Process) drain() error {
 	s := p.Settings.Stop
+	end := time.Now().Add(s.Wait + s.Timeout)
+	p.shutdownFilter.SetEnd(end)
 	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", s.Wait, "open", p.caller.OpenConnections())
 	p.caller.StartDrain()
 	time.Sleep(s.Wait)
 	_ = level.Info(p.logger).Log("msg", "Closing the listener.", "open", p.caller.OpenConnections())
-	end := time.Now().Add(s.Timeout)
-	p.shutdownFilter.SetEnd(end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := p.caller.Shutdown(ctx); err != nil {
--- a/lentilbend/internal/settings/settings.go
+++ b/lentilbend/internal/settings/settings.go
@@ -138,8 +138,8 @@
 	shutdownRatio = 0.95
 )
 
-// applyGrace sets Wait and Timeout from Grace, if that is set.
-func (s *Stop) applyGrace() {
+// ApplyGrace sets Wait and Timeout from Grace, if that is set.
+func (s *Stop) ApplyGrace() {
 	if s.Grace > 0 {
 		s.Wait = time.Duration(waitRatio * float64(s.Grace))
 		s.Timeout = time.Duration(shutdownRatio*float64(s.Grace)) - s.Wait
@@ -193,7 +193,7 @@
 	if len(fs) > 0 {
 		return nil, fs
 	}
-	s.Stop.applyGrace()
+	s.Stop.ApplyGrace()
 	if fs := s.check(doc); len(fs) > 0 {
 		return nil, fs
 	}
