Apply a changed grace period when the settings are reloaded

A process kept the grace period of its start: after an operator had shortened it, a stop took as long as before and was killed with requests running.

The settings of the graceful shutdown are now reloaded with the others. Without the new line in reload the new spec fails: the process has not ended within 3 s.

--- a/lentilbend/internal/serve/open_test.go
+++ b/lentilbend/internal/serve/open_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -407,6 +408,25 @@
 		Entry("of 3 s", 3*time.Second),
 	)
 
+	// Guards against a stop that takes longer than a grace period that was shortened.
+	It("stops within the grace period of the settings that were read last", func() {
+		store := newStore()
+		store.PutConfig(1, `"k1"`, 0)
+		v := newVM("127.0.0.1", store.Address())
+		v.process.Settings.Stop = settings.Stop{Wait: time.Hour, Timeout: time.Hour}
+		v.process.SettingsFile = filepath.Join(GinkgoT().TempDir(), "settings.toml")
+		a := v.process.Settings
+		text := fmt.Sprintf("DataCentre = \"z1\"\nCaller.Address = %q\nOperator.Address = %q\nPeer.Address = %q\nPlatform.Addresses = [%q]\nPlatform.Form = %q\nStop.Grace = \"1s\"\n",
+			a.Caller.Address, a.Operator.Address, a.Peer.Address, store.Address(), settings.FormStore)
+		Expect(os.WriteFile(v.process.SettingsFile, []byte(text), 0o600)).To(Succeed())
+		v.start()
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		v.process.Signals <- syscall.SIGHUP
+		Eventually(func() []string { return v.log.lines("Settings reloaded.") }, "3s").ShouldNot(BeEmpty())
+		v.process.Signals <- syscall.SIGTERM
+		Eventually(v.ended, "3s").Should(Receive())
+	})
+
 	It("keeps serving after SIGHUP", func() {
 		store := newStore()
 		store.PutConfig(1, `"k1"`, 0)
--- a/lentilbend/internal/serve/path.go
+++ b/lentilbend/internal/serve/path.go
@@ -100,7 +100,7 @@
 // listener is closed, and running requests get Stop.Timeout to finish. From the
 // beginning on, requests that may take longer than both are refused.
 func (p *Process) drain() error {
-	s := p.Settings.Stop
+	s := p.stopSettings.Load()
 	end := time.Now().Add(s.Wait + s.Timeout)
 	p.shutdownFilter.SetEnd(end)
 	_ = level.Info(p.logger).Log("msg", "Stopping.", "wait", s.Wait, "open", p.caller.OpenConnections())
--- a/lentilbend/internal/serve/reload.go
+++ b/lentilbend/internal/serve/reload.go
@@ -52,7 +52,7 @@
 }
 
 // reload applies the settings that may change while the process runs: the log
-// level and, in an open fleet, the seeds and the rate overage and tolerance. An
+// level, those of the graceful shutdown and, in an open fleet, the seeds and the rate overage and tolerance. An
 // invalid file changes nothing.
 func (p *Process) reload() {
 	s, err := settings.Read(p.SettingsFile)
@@ -63,6 +63,7 @@
 	if err := p.root.SetLevel(s.Log.Level); err != nil {
 		_ = level.Warn(p.logger).Log("msg", "Invalid log level; keeping the current one.", "err", err)
 	}
+	p.stopSettings.Store(&s.Stop)
 	if p.isOpenFleet() {
 		p.openFleet.SetSeeds(s.Peer.Seeds)
 		p.workspaceLimits.SetOverage(s.Fleet.RateOverage, s.Fleet.RateTolerance)
@@ -80,6 +81,7 @@
 	a, b := *o, *n
 	for _, s := range []*settings.Settings{&a, &b} {
 		s.Log.Level = ""
+		s.Stop = settings.Stop{}
 		s.Peer.Seeds = nil
 		s.Fleet.RateOverage, s.Fleet.RateTolerance = 0, 0
 		s.Platform.InitialWait = 0
--- a/lentilbend/internal/serve/serve.go
+++ b/lentilbend/internal/serve/serve.go
@@ -101,8 +101,10 @@
 	prober         *chooser.Prober
 	shareFilter    *share.Filter
 	shutdownFilter shutdown.Filter
-	limiter        *limiter.Limiter
-	rateFilter     *rate.Filter
+	// stopSettings are the settings of the next graceful shutdown.
+	stopSettings atomic.Pointer[settings.Stop]
+	limiter      *limiter.Limiter
+	rateFilter   *rate.Filter
 	// updatesReady has an item when state updates wait to be sent.
 	updatesReady chan struct{}
 	started      time.Time
@@ -186,6 +188,7 @@
 		return fmt.Errorf("serve: %w", err)
 	}
 	p.logger = p.root.Component("serve")
+	p.stopSettings.Store(&s.Stop)
 	p.started = time.Now()
 	p.bus = event.NewBus()
 	p.timer = &timer.Service{Bus: p.bus, Resolution: tickResolution, MinPause: pauseThreshold}
