Refuse a document with deeply nested keys before it is decoded

Brackets and braces of a document were limited to a depth of 32, dotted keys were not. Every VM that reads such a value of the table would end again and again.

The depth of keys, together with the tables and arrays around them, is now checked with the library's parser before the document is decoded.

--- a/internal/document/decode.go
+++ b/internal/document/decode.go
@@ -21,7 +21,7 @@
 // MaxSize is the size of the largest document that Decode accepts, in bytes.
 const MaxSize = 1 << 20
 
-// MaxDepth is the deepest nesting of brackets and braces that Decode accepts.
+// MaxDepth is the deepest nesting of tables and arrays that Decode accepts.
 const MaxDepth = 32
 
 // optional is the value of the struct tag `document` for a field that may be
@@ -81,6 +81,10 @@
 		d.findings.Add(whole, "is nested deeper than %d", MaxDepth)
 		return nil, false
 	}
+	if line, ok := findDeepKey(text); ok {
+		d.findings.Add(finding.Place{Value: d.doc.name, Line: line, Column: 1}, "has a key that is nested deeper than %d", MaxDepth)
+		return nil, false
+	}
 	m := map[string]any{}
 	err := toml.Unmarshal(text, &m)
 	if e := (*toml.DecodeError)(nil); errors.As(err, &e) {
--- a/internal/document/decode_test.go
+++ b/internal/document/decode_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -54,6 +55,34 @@
 		Expect(o.List[0].Address.Port()).To(Equal(uint16(2)))
 	})
 
+	// Guards against a document that takes gigabytes of memory, which ends the process.
+	DescribeTable("refuses a document that is nested too deep, in little time and memory", func(text string, line int) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, fs := document.Decode("x", []byte(text), &outer{})
+		runtime.ReadMemStats(&after)
+		Expect(fs).To(HaveLen(1))
+		Expect(fs[0].Text).To(ContainSubstring("nested deeper than 32"))
+		Expect(fs[0].Place.Line).To(Equal(line))
+		Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 256<<20))
+	},
+		Entry("arrays", "a = "+strings.Repeat("[", 500_000), 0),
+		Entry("inline tables", "a = "+strings.Repeat("{a=", 300_000), 0),
+		Entry("a dotted key", "On = true\n"+strings.Repeat("a.", 10_000)+"a = 1\n", 2),
+		Entry("a long dotted key", strings.Repeat("a.", 400_000)+"a = 1\n", 1),
+		Entry("a dotted table", "["+strings.Repeat("a.", 10_000)+"a]\n", 1),
+		Entry("a dotted array of tables", "[["+strings.Repeat("a.", 10_000)+"a]]\n", 1),
+		Entry("a dotted key in an inline table", "x = {"+strings.Repeat("a.", 10_000)+"a = 1}\n", 1),
+		Entry("a dotted key in an array in an inline table", "x = {b = [{"+strings.Repeat("a.", 10_000)+"a = 1}]}\n", 1),
+		Entry("a table and a key together", "["+strings.Repeat("a.", 20)+"a]\n"+strings.Repeat("b.", 20)+"b = 1\n", 2),
+	)
+
+	It("accepts dots in texts and comments", func() {
+		var o outer
+		_, fs := document.Decode("x", []byte("Name = \"a"+strings.Repeat(".b", 100)+"\" # c"+strings.Repeat(".d", 100)+"\nCount = 3\nRate = 2\nOn = true\n"), &o)
+		Expect(fs).To(BeEmpty())
+	})
+
 	It("reports all errors of a document at once, each with its position", func() {
 		var o outer
 		_, fs := document.Decode("x", []byte(`Name = 7
