--- a/lentilbend/internal/serve/open_test.go
+++ b/lentilbend/internal/serve/open_test.go
@@ -189,6 +189,43 @@
 		Expect(v.log.lines("Platform is back.")).NotTo(BeEmpty())
 	})
 
+	// Guards against an entry of another writer that ends the process, or after which it
+	// no longer follows the store.
+	It("follows the store beside entries that can't be read", func() {
+		store, server := newStore(), newServer("i-1")
+		store.PutConfig(1, `"k1"`, 0)
+		store.PutServer(server, false)
+		valid := server.Entry("cat", "ready")
+		for i, text := range []string{
+			strings.Repeat("[", 500_000),
+			strings.Repeat(`{"service":`, 90_000),
+			strings.Replace(valid, "{", `{"x":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+",", 1),
+			strings.Replace(valid, `"slots":6`, `"slots":1e400`, 1),
+			strings.Replace(valid, `"slots":6`, `"slots":9223372036854775807`, 1),
+			strings.Replace(valid, server.Listener.Addr().String(), "127.0.0.1:65536", 1),
+			strings.Replace(valid, server.Listener.Addr().String(), "127.0.0.1:99999999999999999999", 1),
+			"\xff\xfe",
+		} {
+			Expect(text).NotTo(Equal(valid))
+			store.Put(fmt.Sprint("servers/odd-", i), text)
+		}
+		v := startVM("127.0.0.1", store.Address())
+		Eventually(v.isReady, "3s").Should(BeTrue())
+		serves := func(key, id string) func() int {
+			return func() int {
+				code, _, _ := v.request("GET", "/look/1", key, id)
+				return code
+			}
+		}
+		Expect(serves("k1", "before")()).To(Equal(200))
+		store.Put("servers/odd-late", strings.Repeat("[", 500_000))
+		store.PutConfig(2, `"k2"`, 0)
+		Eventually(serves("k2", "after"), "2s").Should(Equal(200))
+		store.RemoveServer(server)
+		Eventually(serves("k2", "gone"), "4s").Should(Equal(503))
+		Expect(v.ended).NotTo(Receive())
+	})
+
 	It("reads all values again when the store has dropped its history, and applies removals made meanwhile", func() {
 		store, server := newStore(), newServer("i-1")
 		store.PutConfig(1, `"k1"`, 0)
