Pull over a new connection when the open one does not answer

A VM whose open connections had gone silent for good pulled over them all the same: each pull waited for 3 s, and the next one from the same VM, if it was another version, began on the same connection.

Streams notice silence by missing acknowledgements; connections for pulls had only the timeout of the pull, after which nothing else was tried.

A pull over a connection that was open before is now also sent over a new one after 200 ms, or at once if it fails. The slower one is given up. Pulls over new connections wait as before, since a link may be slow.

With a time of 1 h instead of 200 ms the new spec fails after 3 s with a deadline exceeded; with it, it passes, also with the race detector.

--- a/lentilbend/internal/peer/counters.go
+++ b/lentilbend/internal/peer/counters.go
@@ -14,7 +14,7 @@
 	sentFrames, receivedFrames  atomic.Uint64
 	sentBytes, receivedBytes    atomic.Uint64
 	refusedCalls, silentStreams atomic.Uint64
-	panics                      atomic.Uint64
+	panics, repeatedPulls       atomic.Uint64
 }
 
 // Counters holds the hub's totals since the process started. Bytes are counted
@@ -29,6 +29,8 @@
 	// SilentStreams counts streams cancelled because a frame took longer than
 	// Timing.SilenceTimeout to send or to be acknowledged.
 	SilentStreams uint64
+	// RepeatedPulls counts pulls that were also sent over a new connection.
+	RepeatedPulls uint64
 	// Panics counts frames that were dropped after a panic of their handler.
 	Panics uint64
 }
@@ -43,6 +45,7 @@
 		ReceivedBytes:  c.receivedBytes.Load(),
 		Refused:        c.refusedCalls.Load(),
 		SilentStreams:  c.silentStreams.Load(),
+		RepeatedPulls:  c.repeatedPulls.Load(),
 		Panics:         c.panics.Load(),
 	}
 }
@@ -138,6 +141,7 @@
 	c("lentilbend_peer_received_bytes_total", "Bytes received from other VMs.", &h.counters.receivedBytes)
 	c("lentilbend_peer_refused_total", "Calls of VMs that may not talk.", &h.counters.refusedCalls)
 	c("lentilbend_peer_panics_total", "Frames dropped after a panic of their handler.", &h.counters.panics)
+	c("lentilbend_peer_repeated_pulls_total", "Pulls also sent over a new connection, since the open one failed or did not answer in time.", &h.counters.repeatedPulls)
 	c("lentilbend_peer_silent_total", "Connections replaced because they were silent.", &h.counters.silentStreams)
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lentilbend_peer_connected", Help: "VMs with an open stream.",
--- a/lentilbend/internal/peer/hub.go
+++ b/lentilbend/internal/peer/hub.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -192,54 +191,6 @@
 	return as
 }
 
-// Pull gets from a peer the accepted values and the VM list that are newer than
-// the revisions in q.
-func (h *Hub) Pull(ctx context.Context, to netip.AddrPort, q *peerpb.PullRequest) (*peerpb.PullAnswer, error) {
-	c, err := h.pullConn(to)
-	if err != nil {
-		return nil, fmt.Errorf("peer: pull from %s: %w", to, err)
-	}
-	a, err := peerpb.NewPeerClient(c).Pull(ctx, q)
-	if err != nil {
-		h.closePullConn(to, c)
-		return nil, fmt.Errorf("peer: pull from %s: %w", to, err)
-	}
-	return a, nil
-}
-
-// pullConn returns the connection used for pulls from a peer. gRPC closes its
-// TCP connection when idle.
-func (h *Hub) pullConn(to netip.AddrPort) (*grpc.ClientConn, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.runContext == nil {
-		return nil, errors.New("hub is not running")
-	}
-	if c := h.pullConns[to]; c != nil {
-		return c, nil
-	}
-	c, err := h.newClientConn(to)
-	if err != nil {
-		return nil, err
-	}
-	if h.pullConns == nil {
-		h.pullConns = map[netip.AddrPort]*grpc.ClientConn{}
-	}
-	h.pullConns[to] = c
-	return c, nil
-}
-
-// closePullConn closes a connection on which a pull failed, so that the next
-// pull uses a new one.
-func (h *Hub) closePullConn(to netip.AddrPort, c *grpc.ClientConn) {
-	h.mu.Lock()
-	if h.pullConns[to] == c {
-		delete(h.pullConns, to)
-	}
-	h.mu.Unlock()
-	_ = c.Close()
-}
-
 // linkTo returns the link to an address and creates it if necessary. h.mu must
 // be held.
 func (h *Hub) linkTo(a netip.AddrPort) *link {
--- a/lentilbend/internal/peer/hub_test.go
+++ b/lentilbend/internal/peer/hub_test.go
@@ -301,6 +301,32 @@
 		Expect(a.helloSenders()).To(HaveLen(1))
 	})
 
+	// Guards against a change that waits for a pull over a connection that has gone
+	// silent for good.
+	It("pulls over a new connection when the open one has gone silent", func() {
+		l, h := freeAddressPair()
+		a := startNode(l, 1)
+		startNode(h, 2, func(h *peer.Hub) {
+			h.AnswerPull = func(q *peerpb.PullRequest) *peerpb.PullAnswer {
+				return &peerpb.PullAnswer{Accepted: q.GetSince() + 1}
+			}
+		})
+		pull := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			_, err := a.hub.Pull(ctx, h, &peerpb.PullRequest{Since: 4})
+			return err
+		}
+		Eventually(pull, eventualTimeout).Should(Succeed())
+		for n := range 3 {
+			a.dialer.setLossy(true, true)
+			Expect(pull()).To(Succeed())
+			Expect(a.hub.Counters().RepeatedPulls).To(Equal(uint64(n + 1)))
+		}
+		Expect(pull()).To(Succeed())
+		Expect(a.hub.Counters().RepeatedPulls).To(Equal(uint64(3)))
+	})
+
 	It("answers pulls", func() {
 		l, h := freeAddressPair()
 		a := startNode(l, 1)
