Write the header of a flushed answer from what its own handler formatted

The end of an answer makes the next one writable and, if that was flushed, wrote its head from the handler's header map, to which the handler was just adding the trailer.

A handler that flushes before its turn now formats the fields itself; the goroutine before writes these bytes. Two more ways to the map from another goroutine are gone: held informational answers, and 100 Continue after a status was set.

Before: the new spec ended the test process.

--- a/lentilbend/internal/http1/response.go
+++ b/lentilbend/internal/http1/response.go
@@ -56,7 +56,13 @@
 	// flushWanted says that the handler has flushed before the answer was writable.
 	flushWanted bool
 
-	header        http.Header
+	// header belongs to the handler's goroutine.
+	header http.Header
+	// fields are the header fields of an answer that was flushed before it was
+	// writable, and asksClose says that they ask for the connection to be closed.
+	// Another goroutine writes them, while the handler may set the trailer.
+	fields        []byte
+	asksClose     bool
 	trailer       []string
 	status        int
 	length        int64
@@ -192,6 +198,9 @@
 	defer r.mu.Unlock()
 	r.writeHeader(http.StatusOK)
 	if !r.writable {
+		if !r.flushWanted && !r.headWritten {
+			r.fields, r.asksClose = r.appendHeader(nil), r.wantsClose()
+		}
 		r.flushWanted = true
 		return r.err
 	}
@@ -227,7 +236,7 @@
 func (r *response) writeContinue() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.headWritten {
+	if r.status != 0 {
 		return nil
 	}
 	r.informational = append(r.informational, "HTTP/1.1 100 Continue\r\n\r\n"...)
@@ -255,7 +264,8 @@
 	return r.err == nil
 }
 
-// allowWriting makes the answer writable, and writes what the handler has flushed.
+// allowWriting makes the answer writable, and writes what the handler has flushed. It
+// is called in the goroutine of the answer before, and must not use the header.
 func (r *response) allowWriting() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -268,8 +278,11 @@
 		}
 	}
 	r.conn.setWriteDeadline(r.writeDeadline)
-	if r.flushWanted || len(r.informational) > 0 {
+	if r.flushWanted {
 		r.emit(nil, false)
+	} else if len(r.informational) > 0 {
+		r.write(r.informational)
+		r.informational = nil
 	}
 }
 
@@ -340,7 +353,6 @@
 // connection closes after this answer.
 func (r *response) appendHead(b []byte) []byte {
 	r.headWritten = true
-	h := r.header
 	head := r.request.Method == http.MethodHead
 	sized := r.length >= 0 || !bodyAllowed(r.status) || head
 	r.chunked = !sized && !r.http10
@@ -349,13 +361,16 @@
 		r.mustClose = r.mustClose || !r.body.complete()
 	}
 	r.mustClose = r.mustClose || !sized && r.http10
-	closes := r.conn.decideClose(r, hasToken(h["Connection"], "close"))
+	if r.fields == nil {
+		r.asksClose = r.wantsClose()
+	}
+	closes := r.conn.decideClose(r, r.asksClose)
 	b = appendStatusLine(b, r.status, r.http10)
-	b = appendFields(b, h, r.trailerNames())
-	if _, ok := h["Date"]; !ok {
-		b = append(b, "Date: "...)
-		b = time.Now().UTC().AppendFormat(b, http.TimeFormat)
-		b = append(b, crlf...)
+	if r.fields == nil {
+		b = r.appendHeader(b)
+	} else {
+		b = append(b, r.fields...)
+		r.fields = nil
 	}
 	switch {
 	case r.length >= 0 && bodyAllowed(r.status):
@@ -374,6 +389,22 @@
 	return append(b, crlf...)
 }
 
+// appendHeader appends the fields of the header, and Date if it has none.
+func (r *response) appendHeader(b []byte) []byte {
+	b = appendFields(b, r.header, r.trailerNames())
+	if _, ok := r.header["Date"]; !ok {
+		b = append(b, "Date: "...)
+		b = time.Now().UTC().AppendFormat(b, http.TimeFormat)
+		b = append(b, crlf...)
+	}
+	return b
+}
+
+// wantsClose reports whether the handler wants the connection to close after the answer.
+func (r *response) wantsClose() bool {
+	return hasToken(r.header["Connection"], "close")
+}
+
 // trailerNames returns the names that the handler has announced as trailers.
 func (r *response) trailerNames() []string {
 	for _, v := range r.header["Trailer"] {
--- a/lentilbend/internal/http1/server_test.go
+++ b/lentilbend/internal/http1/server_test.go
@@ -503,3 +503,62 @@
 		Entry("-1", -1),
 	)
 })
+
+var _ = Describe("pipelined answers with trailers", func() {
+	// Guards against a fatal error that ends the process: the end of one answer wrote the
+	// header of the next one while that one's handler set its trailer.
+	It("are whole when they end at the same time", func() {
+		s := startServer(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/first" {
+				time.Sleep(time.Millisecond)
+				return
+			}
+			h := w.Header()
+			h["Trailer"] = []string{"X-Sum"}
+			_, _ = io.WriteString(w, "second")
+			_ = http.NewResponseController(w).Flush()
+			for end := time.Now().Add(3 * time.Millisecond); time.Now().Before(end); {
+				h["X-Sum"] = []string{"7"}
+				h[http.TrailerPrefix+"X-More"] = []string{"8"}
+				delete(h, http.TrailerPrefix+"X-More")
+			}
+		})
+		var group sync.WaitGroup
+		for range 16 {
+			c, r := s.dial()
+			group.Go(func() {
+				defer GinkgoRecover()
+				for range 40 {
+					send(c, get("/first")+get("/second"))
+					_, _ = readAnswer(r)
+					a, b := readAnswer(r)
+					Expect(b).To(Equal("second"))
+					Expect(a.Header.Get("Date")).NotTo(BeEmpty())
+					Expect(a.Trailer.Get("X-Sum")).To(Equal("7"))
+				}
+			})
+		}
+		group.Wait()
+	})
+
+	It("that are flushed early close the connection if they ask for it", func() {
+		s := startServer(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/first" {
+				time.Sleep(20 * time.Millisecond)
+				return
+			}
+			w.Header()["Connection"] = []string{"close"}
+			w.Header()["X-Own"] = []string{"1"}
+			_ = http.NewResponseController(w).Flush()
+			w.Header()["X-Own"] = []string{"2"}
+		})
+		c, r := s.dial()
+		send(c, get("/first")+get("/second"))
+		_, _ = readAnswer(r)
+		a, _ := readAnswer(r)
+		Expect(a.Close).To(BeTrue())
+		Expect(a.Header["X-Own"]).To(Equal([]string{"1"}))
+		_, err := r.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+})
