Read the servers of a request only in its own goroutine

The goroutine that watches a request in flight could read the list of tried servers after the attempt had ended, while the next one added to it (seen by the review with the race detector; nothing followed from it as far as seen). It now gets a copy, and whether another attempt is allowed is decided before the request is sent.

--- a/lentilbend/internal/backend/attempt.go
+++ b/lentilbend/internal/backend/attempt.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -225,23 +226,22 @@
 		Deadline: f.exchange.Deadline,
 		Streamed: f.body.streamed(),
 	}
-	if f.mayRepeatAfterRun() && !i.Streamed {
+	if f.mayRepeatAfterRun() && !i.Streamed && len(f.tried) < f.maxAttempts() {
 		i.OnSilent = func() { f.reroute(c, s) }
 		if v, ok := f.forwarder.Chooser.(Rerouter); ok && f.forwarder.RerouteCheckInterval > 0 {
 			ended := make(chan struct{})
 			defer close(ended)
-			go f.watchInFlight(v, call, c, s, ended)
+			go f.watchInFlight(v, call, slices.Clone(f.tried), c, s, ended)
 		}
 	}
 	return c.RoundTrip(f.newRequest(httptrace.WithClientTrace(f.ctx, &f.informational.trace), c.Host()), i)
 }
 
 // watchInFlight checks a request in flight until ended is closed, and reroutes
-// it when another server is expected to answer sooner.
-func (f *forwarding) watchInFlight(v Rerouter, call choice.Call, c *pool.Conn, s *attemptState, ended <-chan struct{}) {
+// it when another server, which is not in tried, is expected to answer sooner.
+func (f *forwarding) watchInFlight(v Rerouter, call choice.Call, tried []netip.AddrPort, c *pool.Conn, s *attemptState, ended <-chan struct{}) {
 	t := time.NewTicker(f.forwarder.RerouteCheckInterval)
 	defer t.Stop()
-	tried := f.tried[:len(f.tried):len(f.tried)]
 	for {
 		select {
 		case <-ended:
@@ -250,17 +250,17 @@
 			return
 		case <-t.C:
 		}
-		if len(tried) < f.maxAttempts() && v.ShouldReroute(f.exchange, call, tried) {
+		if v.ShouldReroute(f.exchange, call, tried) {
 			f.reroute(c, s)
 			return
 		}
 	}
 }
 
-// reroute gives the current attempt up, by closing its connection, when another
-// attempt is allowed and the budget has a retry left.
+// reroute gives the attempt up, by closing its connection, when the budget has a retry
+// left. It may be called after the attempt has ended.
 func (f *forwarding) reroute(c *pool.Conn, s *attemptState) {
-	if len(f.tried) >= f.maxAttempts() || !f.budget.take() {
+	if !f.budget.take() {
 		return
 	}
 	if s.CompareAndSwap(stateWaiting, stateRerouted) {
