Let a coordinator's answer count only for a time since its report

More requests of a workspace than its limit allows could pass on a fleet whose messages are late: a VM that got no processor time for a second took an answer that had waited as long for a fresh one, and passed what the coordinator had allowed before the demand rose.

An answer names the report that it answers, so that its age is now also counted from when that was sent: at most 1.25 s. Then an equal share of the limit applies, as without a coordinator.

--- a/internal/roster/limits.go
+++ b/internal/roster/limits.go
@@ -14,8 +14,10 @@
 
 // Parameters of the distributed rate limits.
 const (
-	// answerTTL is how long a coordinator's answer stays valid.
-	answerTTL = silentTimeout
+	// answerTTL is how long a coordinator's answer stays valid, and maxAnswerAge how
+	// old the report that it answers may become meanwhile.
+	answerTTL    = silentTimeout
+	maxAnswerAge = 2 * silentTimeout
 	// demandWeight is the EWMA weight of the latest report interval.
 	demandWeight = 0.4
 	// poissonDeviations is the number of standard deviations by which a Poisson
@@ -139,6 +141,8 @@
 // coordinatorAnswer is the latest answer of a coordinator.
 type coordinatorAnswer struct {
 	received time.Time
+	// reported is when the report that it answers was sent.
+	reported time.Time
 	// reporting is how many VMs report to the coordinator.
 	reporting uint32
 	// tenure is how long the coordinator has been one.
@@ -319,7 +323,7 @@
 	for _, a := range l.answers {
 		// The ratios of a coordinator that receives no other VM's reports are no
 		// better than an equal share.
-		if now.Sub(a.received) >= answerTTL || a.reporting < 2 {
+		if now.Sub(a.received) >= answerTTL || now.Sub(a.reported) >= maxAnswerAge || a.reporting < 2 {
 			continue
 		}
 		if b == nil || a.betterThan(b) {
@@ -373,16 +377,16 @@
 	l.scale = 1
 }
 
-// receiveAnswer stores a coordinator's answer, unless that coordinator is still
-// in its warm-up, and drops old answers.
-func (l *Limits) receiveAnswer(now time.Time, from netip.AddrPort, a *peerpb.FleetAnswer) {
+// receiveAnswer stores a coordinator's answer to the report that was sent at reported,
+// unless that coordinator is still in its warm-up, and drops old answers.
+func (l *Limits) receiveAnswer(now, reported time.Time, from netip.AddrPort, a *peerpb.FleetAnswer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.answers == nil || time.Duration(a.GetSinceMillis())*time.Millisecond < coordinatorWarmup {
 		return
 	}
 	tenure := time.Duration(a.GetSinceMillis()) * time.Millisecond
-	c := &coordinatorAnswer{received: now, reporting: a.GetReporting(), tenure: tenure, passRatios: map[uint64]uint32{}}
+	c := &coordinatorAnswer{received: now, reported: reported, reporting: a.GetReporting(), tenure: tenure, passRatios: map[uint64]uint32{}}
 	for _, g := range a.GetGrants() {
 		c.passRatios[g.GetWorkspace()] = g.GetPart()
 	}
--- a/internal/roster/limits_test.go
+++ b/internal/roster/limits_test.go
@@ -164,3 +164,35 @@
 		})).To(BeNumerically("<", 0.01))
 	})
 })
+
+var _ = Describe("a coordinator's answer", func() {
+	// Guards against an answer that counts as fresh since it came just now, though it is
+	// to a report from long ago: the demand may have risen since.
+	DescribeTable("counts for a limited time since the report that it answers", func(delay time.Duration, counts bool) {
+		s := newSimulation(1, 5, roster.Limit{Rate: 40, Burst: 40})
+		s.run(5 * time.Second)
+		var n *node
+		for _, o := range s.nodes {
+			if !o.roster.IsCoordinator() {
+				n = o
+			}
+		}
+		c := s.find(n.roster.Coordinators()[0])
+		s.now = s.now.Add(200 * time.Millisecond)
+		for _, e := range n.roster.Tick(s.now) {
+			if e.To != c.address {
+				continue
+			}
+			for _, a := range c.roster.ReceiveReport(s.now, n.roster.Self, e.Report) {
+				n.roster.ReceiveAnswer(s.now.Add(delay), c.roster.Self, a.Answer)
+			}
+		}
+		Expect(n.limits.Take(s.now.Add(delay), workspace).NoCoordinator).To(Equal(!counts))
+	},
+		Entry("at once", 2*time.Millisecond, true),
+		Entry("over a slow link", 600*time.Millisecond, true),
+		Entry("just before the end", 1240*time.Millisecond, true),
+		Entry("too late", 1260*time.Millisecond, false),
+		Entry("after many later reports", 20*time.Second, false),
+	)
+})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -74,8 +74,11 @@
 	// that this VM sent.
 	reportNumber uint64
 	lastReport   time.Time
-	leaving      bool
-	rejoin       rejoinContact
+	// reportTimes are the times of the last reports, by their numbers modulo the
+	// length.
+	reportTimes [16]time.Time
+	leaving     bool
+	rejoin      rejoinContact
 	// coordinatorSince is when this VM became a coordinator, or the last tick if
 	// it is not one.
 	coordinatorSince time.Time
@@ -111,6 +114,7 @@
 	}
 	r.lastReport = now
 	r.reportNumber++
+	r.reportTimes[r.reportNumber%uint64(len(r.reportTimes))] = now
 	if r.Limits != nil {
 		r.Limits.beginReport(r.reportNumber)
 	}
@@ -151,6 +155,15 @@
 	return q
 }
 
+// reportTime returns when this VM sent the report of a number; zero if that is too long
+// ago.
+func (r *Roster) reportTime(number uint64) time.Time {
+	if number > r.reportNumber || r.reportNumber-number >= uint64(len(r.reportTimes)) {
+		return time.Time{}
+	}
+	return r.reportTimes[number%uint64(len(r.reportTimes))]
+}
+
 // reportTo returns the envelope of a report to a coordinator. It marks the
 // coordinator as failed if it has left reports unanswered for silentTimeout.
 func (r *Roster) reportTo(now time.Time, a netip.AddrPort) Envelope {
@@ -251,7 +264,7 @@
 		r.lastReport = time.Time{}
 	}
 	if r.Limits != nil {
-		r.Limits.receiveAnswer(now, from.Address, a)
+		r.Limits.receiveAnswer(now, r.reportTime(a.GetNumber()), from.Address, a)
 	}
 }
 
@@ -340,5 +353,5 @@
 		Reporting:   uint32(s.reporting),
 		Grants:      r.Limits.grants(now, s.reporting, s.silent),
 	}
-	r.Limits.receiveAnswer(now, r.Self.Address, a)
+	r.Limits.receiveAnswer(now, now, r.Self.Address, a)
 }
