Let an isolated VM contact all former coordinators at once

A VM that hears nobody uses an equal share of each limit, which is too little where callers are spread unevenly.

Such a VM gives its coordinators up after 0.6 s and then contacted one of them, or a seed, each second, and reported to it once. Islands of VMs found each other one by one.

An isolated VM now keeps streams to all three former coordinators and the next seed, chosen anew each half second, and reports to them at every report until it is no longer isolated. VMs that hear anyone behave as before.

The new specs failed (4 of 4) and pass.

--- a/internal/roster/limits_test.go
+++ b/internal/roster/limits_test.go
@@ -196,3 +196,36 @@
 		Entry("after many later reports", 20*time.Second, false),
 	)
 })
+
+var _ = Describe("VMs that are isolated for a moment", func() {
+	// Guards against refusals within the limits for seconds after the streams of many VMs
+	// have failed at once.
+	DescribeTable("hear a coordinator within 0.8 s of the end", func(vms int, share float64) {
+		for seed := range seedCount(vms) {
+			s := newSimulation(seed, vms, roster.Limit{Rate: 40, Burst: 40})
+			isolated := make([]bool, vms)
+			for i := range isolated {
+				isolated[i] = s.rand.Float64() < share
+			}
+			s.partitioned = func(a, b int) bool {
+				t := s.now.Sub(s.started)
+				return (isolated[a] || isolated[b]) && t >= 8*time.Second && t < 9200*time.Millisecond
+			}
+			heard := map[int]bool{}
+			for t := 9200 * time.Millisecond; t <= 10*time.Second; t += 50 * time.Millisecond {
+				s.run(t)
+				for _, n := range s.nodes {
+					heard[n.index] = heard[n.index] || t > 9300*time.Millisecond && !n.limits.Take(s.now, workspace).NoCoordinator
+				}
+			}
+			for _, n := range s.nodes {
+				Expect(heard[n.index]).To(BeTrue(), "seed %d, VM %d", seed, n.index)
+			}
+		}
+	},
+		Entry("all of a small fleet", 14, 1.0),
+		Entry("most of a small fleet", 14, 0.7),
+		Entry("all of a large fleet", 141, 1.0),
+		Entry("most of a large fleet", 141, 0.7),
+	)
+})
--- a/internal/roster/rejoin.go
+++ b/internal/roster/rejoin.go
@@ -17,13 +17,19 @@
 	// coordinators make per rejoinInterval, so that not all VMs of a large fleet
 	// contact the seeds at once.
 	rejoinsPerInterval = 16
+	// isolatedRejoinInterval is the time between rejoin contacts of an isolated VM.
+	isolatedRejoinInterval = rejoinInterval / 2
 )
 
 // rejoinContact is a report to a VM that is not a coordinator in this VM's view.
-// Such reports let the sides of a healed network partition find each other.
+// Such reports let the sides of a healed network partition find each other. An isolated
+// VM contacts all the former coordinators at once, since their streams may have failed
+// without them.
 type rejoinContact struct {
-	to      netip.AddrPort
+	to      []netip.AddrPort
 	started time.Time
+	// isolated says that the VM was isolated when the contact started.
+	isolated bool
 	// reported says that the report was sent.
 	reported bool
 	// count is how many contacts were planned; it selects the next target.
@@ -38,42 +44,71 @@
 		return slices.DeleteFunc(slices.Clone(r.Seeds), func(a netip.AddrPort) bool { return a == r.Self.Address })
 	}
 	c := &r.rejoin
-	if c.reported || !c.to.IsValid() || now.Sub(c.started) < rejoinReportDelay || slices.Contains(r.coordinators, c.to) {
+	if c.isolated && now.Sub(c.started) < rejoinInterval {
+		return r.excludeCoordinators(c.to)
+	}
+	if c.reported || now.Sub(c.started) < rejoinReportDelay {
 		return nil
 	}
 	c.reported = true
-	return []netip.AddrPort{c.to}
+	return r.excludeCoordinators(c.to)
+}
+
+// excludeCoordinators returns the addresses that are neither coordinators nor this VM.
+func (r *Roster) excludeCoordinators(as []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(as), func(a netip.AddrPort) bool {
+		return a == r.Self.Address || slices.Contains(r.coordinators, a)
+	})
+}
+
+// isIsolated reports whether this VM knows others and none of them is live.
+func (r *Roster) isIsolated(now time.Time) bool {
+	for _, v := range r.vms {
+		if r.live(now, v) {
+			return false
+		}
+	}
+	return len(r.vms) > 0
 }
 
 // planRejoin starts the next rejoin contact when it is due. Targets alternate
 // between silent VMs and seeds, if there are both.
 func (r *Roster) planRejoin(now time.Time) {
 	c := &r.rejoin
+	isolated := r.isIsolated(now)
 	interval := rejoinInterval
-	if !r.IsCoordinator() {
+	switch {
+	case isolated:
+		interval = isolatedRejoinInterval
+	case !r.IsCoordinator():
 		interval *= time.Duration(max(1, len(r.vms)/rejoinsPerInterval))
 	}
 	if len(r.vms) == 0 || now.Sub(c.started) < interval {
 		return
 	}
-	c.started, c.reported, c.to = now, false, netip.AddrPort{}
-	targets := [][]netip.AddrPort{r.silentCoordinators(now), r.Seeds}
+	c.started, c.reported, c.isolated, c.to = now, false, isolated, nil
+	silent, seeds := r.excludeCoordinators(r.silentCoordinators(now)), r.excludeCoordinators(r.Seeds)
+	targets := [][]netip.AddrPort{silent, seeds}
 	for i := range targets {
-		as := slices.DeleteFunc(slices.Clone(targets[(c.count+i)%len(targets)]), func(a netip.AddrPort) bool {
-			return a == r.Self.Address || slices.Contains(r.coordinators, a)
-		})
-		if len(as) > 0 {
-			c.to = as[c.count/len(targets)%len(as)]
+		if as := targets[(c.count+i)%len(targets)]; len(as) > 0 {
+			c.to = []netip.AddrPort{as[c.count/len(targets)%len(as)]}
 			break
 		}
 	}
+	if isolated {
+		c.to = append(c.to, silent...)
+		slices.SortFunc(c.to, netip.AddrPort.Compare)
+		c.to = slices.Compact(c.to)
+	}
 	c.count++
 }
 
-// rejoinPeer returns the VM to keep a stream to for a rejoin contact, if any.
-func (r *Roster) rejoinPeer(now time.Time) (netip.AddrPort, bool) {
-	c := &r.rejoin
-	return c.to, c.to.IsValid() && now.Sub(c.started) < rejoinInterval
+// rejoinPeers returns the VMs to keep a stream to for a rejoin contact.
+func (r *Roster) rejoinPeers(now time.Time) []netip.AddrPort {
+	if now.Sub(r.rejoin.started) >= rejoinInterval {
+		return nil
+	}
+	return r.rejoin.to
 }
 
 // silentCoordinators returns the silent VMs of the highest rank, which may be the
@@ -95,10 +130,7 @@
 // Peers returns the VMs to keep streams to: the neighbours, the target of the
 // rejoin contact, and the seeds while no other VM is known.
 func (r *Roster) Peers(now time.Time) []netip.AddrPort {
-	as := r.Neighbours(now)
-	if a, ok := r.rejoinPeer(now); ok {
-		as = append(as, a)
-	}
+	as := append(r.Neighbours(now), r.rejoinPeers(now)...)
 	if !r.Joined() {
 		as = append(as, r.Seeds...)
 	}
