--- a/lentilbend/internal/backend/outcome.go
+++ b/lentilbend/internal/backend/outcome.go
@@ -117,8 +117,9 @@
 
 // mustNotPass reports whether an answer must not be passed on: a success that the
 // server did not sign or that was re-encoded on the way, or, if the dialect has
-// StatusTellsNotRun, a status that would tell the caller that the request did not run. With that dialect it also holds back
-// a server error while the request can still be sent to another server.
+// StatusTellsNotRun, a status that would tell the caller that the request did not
+// run. With that dialect it also holds back a server error while the request can
+// still be sent to another server.
 func (f *forwarding) mustNotPass(a *http.Response) bool {
 	if f.dialect.Signature != "" && a.StatusCode/100 == 2 &&
 		(a.Header.Get(f.dialect.Signature) == "" || a.Header.Get("Content-Encoding") != "") {
