End an attempt at once whose final answer looks informational

Informational answers that announced a body ended the attempt already. Now any length, coding or signature on one does, since only final answers have them; the caller gets 502 or the request is tried again.

--- a/lentilbend/internal/backend/answer_test.go
+++ b/lentilbend/internal/backend/answer_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -97,6 +98,16 @@
 		Entry("HTTP/9.9", "HTTP/9.9 200 OK", ""),
 	)
 
+	It("ends an attempt at once whose final answer looks informational", func() {
+		for _, framing := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok", "\r\n"} {
+			s := newServer(respond("HTTP/1.1 100 OK\r\nRequest-Id: " + requestID + "\r\nServer-Signature: s1\r\n" + framing))
+			began := time.Now()
+			a, _ := newDeploymentEntry(s.address()).request("POST", "/sale/1")
+			Expect(a.StatusCode).To(Equal(http.StatusBadGateway))
+			Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		}
+	})
+
 	It("passes on early hints and trailers", func() {
 		e := newEntry(newServer(respond("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\nX-More: 8\r\n\r\n")).address())
--- a/lentilbend/internal/backend/informational.go
+++ b/lentilbend/internal/backend/informational.go
@@ -21,10 +21,11 @@
 type informational struct {
 	writer  http.ResponseWriter
 	private []string
-	// suppressed is set if none may be passed on, since one can't be told from
-	// bytes that are no answer.
-	suppressed bool
-	trace      httptrace.ClientTrace
+	// signature is the field that only final answers have. If there is one, no
+	// informational answer is passed on, since none can be told from bytes that are no
+	// answer.
+	signature string
+	trace     httptrace.ClientTrace
 
 	mu    sync.Mutex
 	count int
@@ -35,7 +36,7 @@
 func (i *informational) begin(w http.ResponseWriter, d *dialect.Dialect) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.writer, i.private, i.suppressed = w, d.PrivateHeaders, d.Signature != ""
+	i.writer, i.private, i.signature = w, d.PrivateHeaders, d.Signature
 	i.ended, i.count = false, 0
 	if i.trace.Got1xxResponse == nil {
 		i.trace.Got1xxResponse = i.pass
@@ -50,10 +51,10 @@
 	if i.count++; i.count > maxInformational {
 		return errTooManyInformational
 	}
-	if err := checkInformational(from); err != nil {
+	if err := checkInformational(from, i.signature); err != nil {
 		return err
 	}
-	if i.ended || i.suppressed || status == http.StatusContinue {
+	if i.ended || i.signature != "" || status == http.StatusContinue {
 		return nil
 	}
 	h := i.writer.Header()
--- a/lentilbend/internal/backend/validity.go
+++ b/lentilbend/internal/backend/validity.go
@@ -6,9 +6,9 @@
 	"net/textproto"
 )
 
-// errInvalidInformational means that an informational answer (1xx) announces a body,
-// which it cannot have.
-var errInvalidInformational = errors.New("backend: an informational answer announces a body")
+// errInvalidInformational means that an informational answer (1xx) has fields of a final
+// one.
+var errInvalidInformational = errors.New("backend: an informational answer has fields of a final one")
 
 // isValidFinal reports whether a is a final answer of HTTP/1. net/http accepts any three
 // digits as a status, and ignores a body that the status does not allow (RFC 9110,
@@ -20,10 +20,11 @@
 	return a.StatusCode != http.StatusNoContent || !announcesBody(a.Header) && len(a.TransferEncoding) == 0
 }
 
-// checkInformational returns an error if an informational answer cannot be one.
-// What follows its head may be the body of a final answer.
-func checkInformational(h textproto.MIMEHeader) error {
-	if announcesBody(http.Header(h)) {
+// checkInformational returns an error if an informational answer is a final one with a
+// wrong status: it has a length, a coding or the signature of the server. What follows
+// its head may be a body.
+func checkInformational(h textproto.MIMEHeader, signature string) error {
+	if h.Get("Content-Length") != "" || h.Get("Transfer-Encoding") != "" || signature != "" && h.Get(signature) != "" {
 		return errInvalidInformational
 	}
 	return nil
@@ -32,5 +33,5 @@
 // announcesBody reports whether a header says that a body follows.
 func announcesBody(h http.Header) bool {
 	n := h.Get("Content-Length")
-	return n != "" && n != "0" || h.Get("Transfer-Encoding") != ""
+	return n != "" && n != "0"
 }
