--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 // cases are the functions that play a case. Each returns what broke the rule, or an empty
 // text if it held.
 var cases = map[string]func(r *record, trouble bool) string{
+	"breakoff": playBreakoff,
 	"path":     playPath,
 	"pipeline": playPipeline,
 }
