--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
@@ -78,12 +78,22 @@
 	code                                    int
 }
 
-// freeAddress returns a free address on loopback.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// portsPerVM is the number of ports that an entry VM listens on.
+const portsPerVM = 4
+
+// freeAddresses returns free addresses on a loopback IP of a VM's own, so that no other VM
+// or stand-in takes their ports. The ports are held until all are chosen, so that they
+// differ.
+func freeAddresses() [portsPerVM]string {
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	var as [portsPerVM]string
+	for n := range as {
+		l, err := net.Listen("tcp", ip+":0")
+		check(err)
+		defer func() { _ = l.Close() }()
+		as[n] = l.Addr().String()
+	}
+	return as
 }
 
 // newDeployment returns a store and n entry VMs that are not started.
@@ -92,9 +102,9 @@
 	check(err)
 	d := &deployment{dir: dir, store: platformtest.NewStore()}
 	for i := range n {
+		as := freeAddresses()
 		d.vms = append(d.vms, &vm{
-			name: fmt.Sprintf("vm%d", i+1), frontend: freeAddress(), ready: freeAddress(),
-			controlPlane: freeAddress(), internal: freeAddress(),
+			name: fmt.Sprintf("vm%d", i+1), frontend: as[0], ready: as[1], controlPlane: as[2], internal: as[3],
 		})
 	}
 	return d
@@ -114,9 +124,11 @@
 func (d *deployment) start(v *vm, bootstrap bool) {
 	template, err := os.ReadFile("platform/settings.toml.tmpl")
 	check(err)
+	ip, internalPort, err := net.SplitHostPort(v.internal)
+	check(err)
 	text, err := platformtest.FillTemplate(string(template), map[string]any{
-		"zone": "z1", "bootstrap": bootstrap, "ip_address": "127.0.0.1",
-		"internal_port_range": []string{strings.TrimPrefix(v.internal, "127.0.0.1:")},
+		"zone": "z1", "bootstrap": bootstrap, "ip_address": ip,
+		"internal_port_range": []string{internalPort},
 		"seed_addresses":      d.seeds(),
 		"contracts":           []string{"base", "drain", "config", "cost", "retry", "recover", "health", "places", "tenants", "quota", "platform"},
 		"listen_addresses": map[string]any{
