Take no answer as complete whose connection was reset

A caller got a part of an answer as the whole one: a backend server answered an upload with a 200 without a length while the body was still being written, and reset the connection within its own body.

Cause: the kernel reports the error of a socket once, to a read or to a write. If the write of the body takes ECONNRESET, the read of the answer finds an orderly end (EOF), which is where an answer without a length is complete.

A connection to a backend server now keeps the error that a write returned, except EPIPE, which says only that the connection cannot be written any more. A read that finds the end returns that error. It waits for a write under way, which may have taken the error, only if the socket has hung up in both directions: that write returns at once. After an orderly end of the server's direction the answer is complete as before, also if a reset follows. Errors other than a reset, such as a timeout of retransmissions, are lost in the same way and kept in the same way.

Answers that end in order are complete before and after.

--- a/lentilbend/internal/backend/status_test.go
+++ b/lentilbend/internal/backend/status_test.go
@@ -63,15 +63,7 @@
 // and the bytes of all that came.
 func sendRaw(e *entry, method string, paths ...string) ([]int, string) {
 	GinkgoHelper()
-	s := &caller.Server{
-		Settings: settings.Caller{Address: netip.MustParseAddrPort("127.0.0.1:0"), HeaderTimeout: time.Second, IdleTimeout: time.Minute},
-		Sizes:    settings.Limits{Header: headerLimit},
-		Handler:  e.Config.Handler.(*caller.Handler),
-	}
-	Expect(s.Listen()).To(Succeed())
-	go func() { _ = s.Run() }()
-	DeferCleanup(s.Close)
-	c, err := net.Dial("tcp", s.Address().String())
+	c, err := net.Dial("tcp", startHTTP1(e).String())
 	Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
 	for i, p := range paths {
@@ -99,6 +91,20 @@
 	}
 }
 
+// startHTTP1 serves the callers of an entry VM over HTTP/1.1 and returns the address.
+func startHTTP1(e *entry) netip.AddrPort {
+	GinkgoHelper()
+	s := &caller.Server{
+		Settings: settings.Caller{Address: netip.MustParseAddrPort("127.0.0.1:0"), HeaderTimeout: time.Second, IdleTimeout: time.Minute},
+		Sizes:    settings.Limits{Header: headerLimit},
+		Handler:  e.Config.Handler.(*caller.Handler),
+	}
+	Expect(s.Listen()).To(Succeed())
+	go func() { _ = s.Run() }()
+	DeferCleanup(s.Close)
+	return s.Address()
+}
+
 // startHTTP2 serves the callers of an entry VM over HTTP/2 with TLS.
 func startHTTP2(e *entry) *httptest.Server {
 	s := httptest.NewUnstartedServer(e.Config.Handler)
--- a/lentilbend/internal/pool/tracked_conn.go
+++ b/lentilbend/internal/pool/tracked_conn.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -44,6 +46,11 @@
 	pollInput func(fd uintptr)
 	hasInput  bool
 
+	// writing is held while bytes are written. It guards writeError, the error with
+	// which the connection broke, if a write returned it.
+	writing    sync.Mutex
+	writeError error
+
 	// startedAt, deadline and streamed belong to the current request.
 	startedAt time.Time
 	deadline  time.Time
@@ -78,6 +85,14 @@
 	return err == nil && n > 0
 }
 
+// hasHungUp reports whether both directions of a socket have ended, as after a reset and
+// not after the orderly end of the peer's direction alone.
+func hasHungUp(fd int32) bool {
+	fs := [1]unix.PollFd{{Fd: fd}}
+	n, err := unix.Poll(fs[:], 0)
+	return err == nil && n > 0 && fs[0].Revents&unix.POLLHUP != 0
+}
+
 // beginRequest prepares the connection for the next request.
 func (t *trackedConn) beginRequest(i RequestInfo) {
 	t.startedAt = t.now()
@@ -86,32 +101,69 @@
 	t.firstWrite.Store(0)
 }
 
-// Read records when bytes arrive.
+// Read records when bytes arrive. It returns io.EOF only if the peer has ended its
+// direction in order.
 func (t *trackedConn) Read(b []byte) (int, error) {
 	n, err := t.Conn.Read(b)
 	if n > 0 {
 		t.lastRead.Store(int64(t.now().Sub(t.base)))
 	}
+	if errors.Is(err, io.EOF) {
+		if e := t.breakError(); e != nil {
+			return n, e
+		}
+	}
 	return n, err
 }
 
+// breakError returns the error with which the connection broke if a write returned it,
+// else nil. The kernel reports the error of a socket once, to a read or to a write; later
+// reads find an orderly end.
+func (t *trackedConn) breakError() error {
+	hungUp := true
+	if t.raw != nil {
+		// Control fails if the connection was closed here, as after a failed write.
+		_ = t.raw.Control(func(fd uintptr) { hungUp = hasHungUp(int32(fd)) })
+	}
+	if !hungUp {
+		return nil
+	}
+	// A write under way returns at once, since the socket has hung up or is closed.
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	return t.writeError
+}
+
 // Write checks the request before its first byte.
 func (t *trackedConn) Write(b []byte) (int, error) {
 	if t.firstWrite.Load() != 0 {
-		return t.Conn.Write(b)
+		return t.write(b)
 	}
 	now := t.now()
 	if err := t.check(now); err != nil {
 		return 0, err
 	}
 	t.firstWrite.Store(int64(now.Sub(t.base)))
-	n, err := t.Conn.Write(b)
+	n, err := t.write(b)
 	if n == 0 && err != nil {
 		t.firstWrite.Store(0)
 	}
 	return n, err
 }
 
+// write writes b and keeps the error with which the connection broke. EPIPE says only
+// that it cannot be written any more.
+func (t *trackedConn) write(b []byte) (int, error) {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	n, err := t.Conn.Write(b)
+	var e syscall.Errno
+	if errors.As(err, &e) && e != syscall.EPIPE {
+		t.writeError = err
+	}
+	return n, err
+}
+
 // check returns an error when the current request must not be written.
 func (t *trackedConn) check(now time.Time) error {
 	if !now.Before(t.deadline) {
