End attempts whose answer has a malformed head

Callers got answers that the backend server had not given: a server spoiled one byte of its answer's head, a blank or a control byte in the name of a field, and kept the rest. The line was lost on the way, or the body was another: with "Transfer-Encoding : chunked" the coding of the chunks was taken for the body.

Cause: net/http reads more than HTTP/1 allows. It keeps a name with a blank, and so does not see the field; a line that begins with a blank or a tab continues the line before it; a bare line feed ends a line, so that one at the beginning of a name ends the head.

An attempt with a malformed head ends like one without an answer: 502 without a claim that it did not run, or another attempt if the request is idempotent. RFC 9112 (sections 2.2, 5.1 and 5.2) allows a gateway to reject each of these.

Nine unusual but valid heads pass before and after.

--- /dev/null
+++ b/lentilbend/internal/backend/head_test.go
@@ -0,0 +1,134 @@
+package backend_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lentilbend.example/lentilbend/internal/exchange"
+)
+
+// spoilNames returns copies of an answer in each of which one byte of the name of a field
+// is replaced, or one more byte is in it. The bytes are blanks and control bytes.
+func spoilNames(answer string) []string {
+	head, body, _ := strings.Cut(answer, "\r\n\r\n")
+	lines := strings.Split(head, "\r\n")
+	var as []string
+	for i, l := range lines[1:] {
+		colon := strings.Index(l, ":")
+		for _, b := range []string{" ", "\t", "\x00", "\x01", "\n", "\v", "\r", "\x7f"} {
+			for _, s := range []string{
+				b + l, l[:colon/2] + b + l[colon/2:], l[:colon] + b + l[colon:],
+				b + l[1:], l[:colon/2] + b + l[colon/2+1:], l[:colon-1] + b + l[colon:],
+			} {
+				c := append([]string{}, lines...)
+				c[i+1] = s
+				as = append(as, strings.Join(c, "\r\n")+"\r\n\r\n"+body)
+			}
+		}
+	}
+	return as
+}
+
+// answerByPath returns an answer function that sends the text whose index ends the path
+// of the request, and then closes the connection if closes is set.
+func answerByPath(texts []string, closes bool) func(net.Conn, int, *http.Request, string) bool {
+	return func(c net.Conn, n int, r *http.Request, b string) bool {
+		_, index, _ := strings.Cut(r.URL.Path[1:], "/")
+		i, err := strconv.Atoi(index)
+		return err == nil && respond(texts[i])(c, n, r, b) && !closes
+	}
+}
+
+// paths returns a path for each index below n.
+func paths(route string, n int) []string {
+	ps := make([]string, n)
+	for i := range ps {
+		ps[i] = fmt.Sprintf("/%s/%d", route, i)
+	}
+	return ps
+}
+
+const earlyHints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+// fieldsBeforeFraming begins an answer up to the field that says where its body ends.
+const fieldsBeforeFraming = "HTTP/1.1 200 OK\r\nRequest-Id: " + requestID + "\r\nServer-Signature: s1\r\nContent-Type: text/plain\r\n"
+
+// Guards against an answer of which a line is lost or misread, so that its body ends
+// elsewhere or its fields are not the server's.
+var _ = Describe("an answer with a blank or a control byte in the name of a field", func() {
+	entries := []any{
+		Entry("with a length", "Content-Length: 2\r\n\r\nok", false),
+		Entry("in chunks", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false),
+		Entry("that ends with its connection", "\r\nok", true),
+		Entry("with a length, closed", "Content-Length: 2\r\n\r\nok", true),
+	}
+
+	DescribeTable("reaches no caller", append([]any{func(rest string, closes bool) {
+		bad := spoilNames(fieldsBeforeFraming + rest)
+		s := newServer(answerByPath(bad, closes))
+		for _, e := range newEntries(s.address()) {
+			statuses, text := sendRaw(e, "POST", paths("sale", len(bad))...)
+			for i, status := range statuses {
+				Expect(status).To(Equal(http.StatusBadGateway), "%q", bad[i])
+			}
+			Expect(statuses).To(HaveLen(len(bad)))
+			Expect(text).NotTo(ContainSubstring("Server-Signature"))
+			Expect(strings.Count(text, string(exchange.RunUnknown))).To(BeNumerically(">=", len(bad)))
+		}
+		Expect(s.runCount()).To(Equal(2 * len(bad)))
+	}}, entries...)...)
+
+	It("is followed by a second attempt for an idempotent request", func() {
+		bad := spoilNames(fieldsBeforeFraming + "Content-Length: 2\r\n\r\nok")
+		first, second := newServer(answerByPath(bad, false)), newServer(respond(signedAnswer("200 OK", "", "ok")))
+		e := newDeploymentEntry(first.address(), second.address())
+		e.forwarder.FleetBudget = newFleetBudget(4, 1000)
+		for i, p := range paths("read", len(bad)) {
+			a, b := e.request("GET", p)
+			Expect(a.StatusCode).To(Equal(200), "%q", bad[i])
+			Expect(b).To(Equal("ok"))
+		}
+	})
+
+	It("reaches no caller as an informational answer, nor does what follows it", func() {
+		for _, hints := range spoilNames(earlyHints) {
+			s := newServer(respond(hints + signedAnswer("200 OK", "", "ok")))
+			a, _ := newDeploymentEntry(s.address()).request("POST", "/sale/1")
+			Expect(a.StatusCode).To(Equal(http.StatusBadGateway), "%q", hints)
+		}
+	})
+
+	It("reaches no caller behind an informational answer", func() {
+		s := newServer(respond(earlyHints + signedAnswer("200 OK", "X Y: z\r\n", "ok")))
+		for _, e := range newEntries(s.address()) {
+			a, _ := e.request("POST", "/sale/1", "Authorization", "Bearer "+goodKey)
+			Expect(a.StatusCode).To(Equal(http.StatusBadGateway))
+		}
+	})
+})
+
+var _ = DescribeTable("an answer with an unusual but valid head is passed on", func(line, field, name, value string) {
+	e := newDeploymentEntry(newServer(respond(strings.Replace(signedAnswer("200 OK", field+"\r\n", "ok"), "HTTP/1.1 200 OK", line, 1))).address())
+	for range 3 {
+		a, b := e.request("POST", "/sale/1")
+		Expect(a.StatusCode).To(Equal(200))
+		Expect(b).To(Equal("ok"))
+		Expect(a.Header.Get(name)).To(Equal(value))
+	}
+},
+	Entry("no reason", "HTTP/1.1 200", "X: y", "X", "y"),
+	Entry("an empty reason", "HTTP/1.1 200 ", "X: y", "X", "y"),
+	Entry("a reason of several words", "HTTP/1.1 200 All is well", "X: y", "X", "y"),
+	Entry("no blank before a value", "HTTP/1.1 200 OK", "x-lower:y", "X-Lower", "y"),
+	Entry("blanks around a value", "HTTP/1.1 200 OK", "X: \t y\tz \t", "X", "y\tz"),
+	Entry("an empty value", "HTTP/1.1 200 OK", "X:", "X", ""),
+	Entry("a value with a colon", "HTTP/1.1 200 OK", "X: a:b", "X", "a:b"),
+	Entry("a value beyond ASCII", "HTTP/1.1 200 OK", "X: gr\xfc\xdfe", "X", "gr\xfc\xdfe"),
+	Entry("punctuation in a name", "HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~09: y", "!#$%&'*+-.^_`|~09", "y"),
+)
--- a/lentilbend/internal/pool/reset_test.go
+++ b/lentilbend/internal/pool/reset_test.go
@@ -10,6 +10,9 @@
 	. "github.com/onsi/gomega"
 )
 
+// partOfAnswer begins an answer that ends with its connection.
+const partOfAnswer = "HTTP/1.1 200 OK\r\n\r\nbody"
+
 // Guards against an answer that ends with its connection and is taken as complete although
 // the server reset the connection.
 var _ = Describe("a connection that ends while a request is written", func() {
@@ -62,13 +65,13 @@
 			written := make(chan error, 1)
 			go func() { written <- writeUntilError(t) }()
 			go func() {
-				_, _ = io.WriteString(p, "part")
+				_, _ = io.WriteString(p, partOfAnswer)
 				time.Sleep(time.Millisecond)
 				_ = p.SetLinger(0)
 				_ = p.Close()
 			}()
 			b, err := read(t)
-			Expect(b).To(Equal("part"))
+			Expect(b).To(Equal(partOfAnswer))
 			Expect(err).To(MatchError(syscall.ECONNRESET))
 			Eventually(written, "5s").Should(Receive(HaveOccurred()))
 		}
@@ -79,10 +82,10 @@
 		done := make(chan struct{})
 		go func() { defer close(done); _, _ = io.Copy(io.Discard, p) }()
 		go func() { _ = writeUntilError(t) }()
-		_, err := io.WriteString(p, "whole")
+		_, err := io.WriteString(p, partOfAnswer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.CloseWrite()).To(Succeed())
-		Expect(read(t)).To(Equal("whole"))
+		Expect(read(t)).To(Equal(partOfAnswer))
 		Expect(t.Close()).To(Succeed())
 		Eventually(done, "5s").Should(BeClosed())
 	})
@@ -91,10 +94,10 @@
 		t, p := open()
 		go func() { _ = writeUntilError(t) }()
 		time.Sleep(50 * time.Millisecond)
-		_, err := io.WriteString(p, "whole")
+		_, err := io.WriteString(p, partOfAnswer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.CloseWrite()).To(Succeed())
-		Expect(read(t)).To(Equal("whole"))
+		Expect(read(t)).To(Equal(partOfAnswer))
 	})
 
 	It("has an orderly end if the reset comes after it", func() {
@@ -103,10 +106,10 @@
 		b := make([]byte, 1)
 		_, err := io.ReadFull(p, b)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = io.WriteString(p, "whole")
+		_, err = io.WriteString(p, partOfAnswer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.Close()).To(Succeed())
 		Expect(writeUntilError(t)).To(MatchError(syscall.EPIPE))
-		Expect(read(t)).To(Equal("whole"))
+		Expect(read(t)).To(Equal(partOfAnswer))
 	})
 })
--- a/lentilbend/internal/pool/tracked_conn.go
+++ b/lentilbend/internal/pool/tracked_conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lentilbend.example/internal/head"
 )
 
 // Errors of a request of which no byte was written.
@@ -51,6 +53,11 @@
 	writing    sync.Mutex
 	writeError error
 
+	// scanner checks the current answer. newAnswer is set when the next byte belongs to
+	// another one.
+	scanner   head.Scanner
+	newAnswer atomic.Bool
+
 	// startedAt, deadline and streamed belong to the current request.
 	startedAt time.Time
 	deadline  time.Time
@@ -101,12 +108,20 @@
 	t.firstWrite.Store(0)
 }
 
-// Read records when bytes arrive. It returns io.EOF only if the peer has ended its
-// direction in order.
+// endRequest ends the current request, whose answer was read.
+func (t *trackedConn) endRequest() {
+	t.newAnswer.Store(true)
+}
+
+// Read records when bytes arrive, and returns an error if the head of an answer is
+// malformed. It returns io.EOF only if the peer has ended its direction in order.
 func (t *trackedConn) Read(b []byte) (int, error) {
 	n, err := t.Conn.Read(b)
 	if n > 0 {
 		t.lastRead.Store(int64(t.now().Sub(t.base)))
+		if e := t.scan(b[:n]); e != nil {
+			return 0, e
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		if e := t.breakError(); e != nil {
@@ -116,6 +131,13 @@
 	return n, err
 }
 
+func (t *trackedConn) scan(b []byte) error {
+	if t.newAnswer.Swap(false) {
+		t.scanner = head.Scanner{}
+	}
+	return t.scanner.Scan(b)
+}
+
 // breakError returns the error with which the connection broke if a write returned it,
 // else nil. The kernel reports the error of a socket once, to a read or to a write; later
 // reads find an orderly end.
