Check the heads of the platform's answers and of probes

A store's answer whose field Store-Era was spoiled counted as one of a store without eras, and a read whose Content-Length was spoiled waited until its timeout. No such answer was reported.

These connections check the answers' heads too: head.DialContext, for requests without a body, each of which begins another answer. pool shares the connection type.

--- /dev/null
+++ b/internal/head/conn.go
@@ -0,0 +1,60 @@
+package head
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Conn is a connection to a server whose answers are checked.
+type Conn struct {
+	net.Conn
+	// scanner checks the current answer. newAnswer is set when the next byte belongs to
+	// another one.
+	scanner   Scanner
+	newAnswer atomic.Bool
+}
+
+// NextAnswer says that the next byte belongs to another answer.
+func (c *Conn) NextAnswer() {
+	c.newAnswer.Store(true)
+}
+
+// Read returns an error if the head of an answer is malformed.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	if c.newAnswer.Swap(false) {
+		c.scanner = Scanner{}
+	}
+	if e := c.scanner.Scan(b[:n]); e != nil {
+		return 0, e
+	}
+	return n, err
+}
+
+// DialContext returns a function for the DialContext field of an http.Transport that
+// checks answers. It is for requests without a body, which are written before their
+// answers begin.
+func DialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &requestConn{Conn{Conn: n}}, nil
+	}
+}
+
+// requestConn is a connection on which each write begins a request.
+type requestConn struct {
+	Conn
+}
+
+// Write writes a request.
+func (c *requestConn) Write(b []byte) (int, error) {
+	c.NextAnswer()
+	return c.Conn.Write(b)
+}
--- a/lentilbend/internal/chooser/probe.go
+++ b/lentilbend/internal/chooser/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"lentilbend.example/internal/choice"
 	"lentilbend.example/internal/dialect"
+	"lentilbend.example/internal/head"
 	"lentilbend.example/internal/load"
 
 	"lentilbend.example/lentilbend/internal/pool"
@@ -37,6 +39,15 @@
 	sent atomic.Uint64
 }
 
+// NewProbeTransport returns a transport for a Prober that opens a connection for each
+// probe.
+func NewProbeTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:       head.DialContext(&net.Dialer{}),
+		DisableKeepAlives: true,
+	}
+}
+
 // Probes sent just before a server is chosen.
 const (
 	// maxCandidateProbes is the most servers that are probed. Even if a quarter
--- a/lentilbend/internal/chooser/probe_status_test.go
+++ b/lentilbend/internal/chooser/probe_status_test.go
@@ -22,8 +22,8 @@
 )
 
 // Guards against a server that is taken out of use, or whose state changes, by what an
-// answer to a probe says whose status is not one of HTTP.
-var _ = DescribeTable("a probe learns nothing from an answer with an invalid status", func(line string, learns bool) {
+// answer to a probe says whose status is not one of HTTP or whose head is malformed.
+var _ = DescribeTable("a probe learns nothing from an answer with an invalid status or a malformed head", func(line string, learns bool) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
@@ -49,7 +49,7 @@
 	server := netip.MustParseAddrPort(l.Addr().String())
 	pools := pool.New(func(netip.AddrPort) int { return 4 })
 	pools.MinIdle = 0
-	for _, r := range []http.RoundTripper{&http.Transport{DisableKeepAlives: true}, &pool.Transport{Pools: pools, Timeout: time.Second}} {
+	for _, r := range []http.RoundTripper{chooser.NewProbeTransport(), &pool.Transport{Pools: pools, Timeout: time.Second}} {
 		t := newTable(1, "In", server, second)
 		s := &chooser.Services{
 			Policy:         choice.NewInformed(),
@@ -88,4 +88,9 @@
 	Entry("101", "101 OK", false),
 	Entry("199", "199 OK", false),
 	Entry("600", "600 OK", false),
+	Entry("a blank in a name", "200 OK\r\nX Y: z", false),
+	Entry("a blank behind a name", "200 OK\r\nX : z", false),
+	Entry("a continued line", "200 OK\r\nX: y\r\n z: 1", false),
+	Entry("a control byte in a name", "200 OK\r\nX\x01: z", false),
+	Entry("a bare line feed", "200 OK\r\nX: y\nZ: z", false),
 )
--- a/lentilbend/internal/platform/client.go
+++ b/lentilbend/internal/platform/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -19,12 +20,26 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"lentilbend.example/internal/head"
 	"lentilbend.example/internal/platformpb"
 )
 
 // maxAnswerBytes is the number of bytes after which an answer's body is cut off.
 const maxAnswerBytes = 64 << 20
 
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 30 * time.Second
+
+// httpClient is the client of all Clients.
+var httpClient = http.Client{Transport: newTransport()}
+
+// newTransport returns http.DefaultTransport with a check of the answers' heads.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = head.DialContext(&net.Dialer{Timeout: dialTimeout})
+	return t
+}
+
 // Client reads from the platform's HTTP service. Set the exported fields before
 // use.
 type Client struct {
@@ -35,7 +50,6 @@
 	// for changes.
 	Timeout time.Duration
 
-	http         http.Client
 	addressIndex atomic.Uint32
 	reads        atomic.Uint64
 }
@@ -101,7 +115,7 @@
 		return err
 	}
 	c.reads.Add(1)
-	a, err := c.http.Do(r)
+	a, err := httpClient.Do(r)
 	if err != nil {
 		return err
 	}
--- a/lentilbend/internal/platform/client_status_test.go
+++ b/lentilbend/internal/platform/client_status_test.go
@@ -13,8 +13,9 @@
 )
 
 // Guards against values and VM lists that are taken from an answer of the platform whose
-// status is not one of HTTP, and against a read that waits until its timeout after one.
-var _ = DescribeTable("Client takes no answer with an invalid status", func(line string) {
+// status is not one of HTTP or whose head is malformed, and against a read that waits until
+// its timeout after one.
+var _ = DescribeTable("Client takes no answer with an invalid status or a malformed head", func(line string) {
 	for _, body := range []string{"Content-Length: 16\r\n\r\n" + `{"revision":"7"}`, "Content-Length: 0\r\n\r\n"} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -61,4 +62,9 @@
 	Entry("600", "600 OK"),
 	Entry("999", "999 OK"),
 	Entry("204", "204 No Content"),
+	Entry("a blank in a name", "200 OK\r\nX Y: z"),
+	Entry("a blank behind a name", "200 OK\r\nX : z"),
+	Entry("a continued line", "200 OK\r\nX: y\r\n z: 1"),
+	Entry("a control byte in a name", "200 OK\r\nX\x01: z"),
+	Entry("a bare line feed", "200 OK\r\nX: y\nZ: z"),
 )
--- a/lentilbend/internal/pool/conn.go
+++ b/lentilbend/internal/pool/conn.go
@@ -87,7 +87,7 @@
 		c.Close()
 		return false
 	}
-	c.tracked.endRequest()
+	c.tracked.NextAnswer()
 	c.pool.put(c)
 	return true
 }
--- a/lentilbend/internal/pool/tracked_conn.go
+++ b/lentilbend/internal/pool/tracked_conn.go
@@ -37,7 +37,7 @@
 // read, and checks each request before its first byte is written. One request
 // uses it at a time.
 type trackedConn struct {
-	net.Conn
+	head.Conn
 	now func() time.Time
 	// base is 1 ns before the connection was wrapped, so that firstWrite is
 	// never 0 after a write.
@@ -53,11 +53,6 @@
 	writing    sync.Mutex
 	writeError error
 
-	// scanner checks the current answer. newAnswer is set when the next byte belongs to
-	// another one.
-	scanner   head.Scanner
-	newAnswer atomic.Bool
-
 	// startedAt, deadline and streamed belong to the current request.
 	startedAt time.Time
 	deadline  time.Time
@@ -69,7 +64,7 @@
 }
 
 func newTrackedConn(n net.Conn, now func() time.Time) (*trackedConn, error) {
-	t := &trackedConn{Conn: n, now: now, base: now().Add(-time.Nanosecond)}
+	t := &trackedConn{Conn: head.Conn{Conn: n}, now: now, base: now().Add(-time.Nanosecond)}
 	t.lastRead.Store(1)
 	c, ok := n.(syscall.Conn)
 	if !ok {
@@ -108,20 +103,12 @@
 	t.firstWrite.Store(0)
 }
 
-// endRequest ends the current request, whose answer was read.
-func (t *trackedConn) endRequest() {
-	t.newAnswer.Store(true)
-}
-
 // Read records when bytes arrive, and returns an error if the head of an answer is
 // malformed. It returns io.EOF only if the peer has ended its direction in order.
 func (t *trackedConn) Read(b []byte) (int, error) {
 	n, err := t.Conn.Read(b)
 	if n > 0 {
 		t.lastRead.Store(int64(t.now().Sub(t.base)))
-		if e := t.scan(b[:n]); e != nil {
-			return 0, e
-		}
 	}
 	if errors.Is(err, io.EOF) {
 		if e := t.breakError(); e != nil {
@@ -131,13 +118,6 @@
 	return n, err
 }
 
-func (t *trackedConn) scan(b []byte) error {
-	if t.newAnswer.Swap(false) {
-		t.scanner = head.Scanner{}
-	}
-	return t.scanner.Scan(b)
-}
-
 // breakError returns the error with which the connection broke if a write returned it,
 // else nil. The kernel reports the error of a socket once, to a read or to a write; later
 // reads find an orderly end.
--- a/lentilbend/internal/serve/choice.go
+++ b/lentilbend/internal/serve/choice.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -36,7 +35,7 @@
 		Table:  p.store.Table,
 		VMList: p.vmList.Newest,
 	}
-	p.prober = &chooser.Prober{Services: p.services, Transport: &http.Transport{DisableKeepAlives: true}}
+	p.prober = &chooser.Prober{Services: p.services, Transport: chooser.NewProbeTransport()}
 	p.updatesReady = make(chan struct{}, 1)
 	p.shareFilter = &share.Filter{Gate: p.services.Gate}
 	p.registry.MustRegister(p.services, p.shareFilter)
