Bound the head of each answer, by its bytes and its fields

An operator of a similar system saw a machine run out of memory: a faulty backend server sent bytes without end in a head or in a body, and all of them were kept.

What was found here: bodies are passed on through a buffer of 32 KiB, with backpressure, and a head of an attempt was bounded by 256 KiB.

--- a/internal/head/scanner.go
+++ b/internal/head/scanner.go
@@ -1,7 +1,7 @@
 // Package head checks the heads of HTTP/1 answers, as they arrive, for what net/http
 // accepts or repairs although it is no answer: names of fields with a blank, continued
 // lines, and lines that do not end with CRLF. Each of them may be a spoiled byte that
-// hides where the body begins or ends.
+// hides where the body begins or ends. It also bounds the size of a head.
 package head
 
 import (
@@ -11,8 +11,17 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+const (
+	// maxSize is the largest size of a head, in bytes.
+	maxSize = 256 << 10
+	// lineOverhead is counted for each line beside its bytes, since a parsed field takes
+	// more memory than its bytes; HTTP/2 counts the same (RFC 9113, section 6.5.2).
+	lineOverhead = 32
+)
+
 // Errors of Scanner.Scan.
 var (
+	errTooLarge   = errors.New("head: the head is too large")
 	errStatusLine = errors.New("head: the status line is malformed")
 	errName       = errors.New("head: the name of a field is malformed")
 	errValue      = errors.New("head: the value of a field or the reason is malformed")
@@ -47,6 +56,8 @@
 	// length is how much of the status line was read.
 	length int
 	status int
+	// size is the size of the head so far.
+	size int
 }
 
 // Scan checks the next bytes of a connection, of which it ignores those behind the head
@@ -56,6 +67,9 @@
 		if s.state == inBody {
 			return nil
 		}
+		if s.size++; s.size > maxSize {
+			return errTooLarge
+		}
 		if err := s.scan(c); err != nil {
 			return err
 		}
@@ -139,6 +153,7 @@
 // endLine goes on to the next line, to the next answer behind an informational one, or
 // to the body.
 func (s *Scanner) endLine() {
+	s.size += lineOverhead
 	switch {
 	case s.state == atLineFeed:
 		s.state = atLineStart
--- a/internal/head/scanner_test.go
+++ b/internal/head/scanner_test.go
@@ -15,6 +15,9 @@
 	"lentilbend.example/internal/head"
 )
 
+// maxSize is the largest size of a head, in which each line counts 32 bytes more.
+const maxSize = 256 << 10
+
 // valid are streams that begin with a valid head.
 var valid = []string{
 	"HTTP/1.1 200 OK\r\n\r\n",
@@ -56,6 +59,23 @@
 	})
 })
 
+var _ = DescribeTable("Scanner bounds a head", func(informational, fields string, accepts bool) {
+	var s head.Scanner
+	err := s.Scan([]byte(informational + "HTTP/1.1 200 OK\r\n" + fields + "\r\n"))
+	if accepts {
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Scan(make([]byte, 2*maxSize))).To(Succeed())
+	} else {
+		Expect(err).To(HaveOccurred())
+	}
+},
+	Entry("by its bytes", "", "X: "+strings.Repeat("x", maxSize)+"\r\n", false),
+	Entry("below its bytes", "", "X: "+strings.Repeat("x", maxSize-100)+"\r\n", true),
+	Entry("by its fields", "", strings.Repeat("X:\r\n", maxSize/36), false),
+	Entry("below its fields", "", strings.Repeat("X:\r\n", maxSize/36-2), true),
+	Entry("apart from the one before", "HTTP/1.1 103 Early Hints\r\nX: "+strings.Repeat("x", maxSize/2)+"\r\n\r\n", "X: "+strings.Repeat("x", maxSize-100)+"\r\n", true),
+)
+
 // framing are the fields that net/http removes from a header or merges.
 var framing = []string{"Content-Length", "Transfer-Encoding", "Trailer"}
 
--- a/lentilbend/internal/backend/endless_test.go
+++ b/lentilbend/internal/backend/endless_test.go
@@ -1,20 +1,60 @@
 package backend_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/textproto"
+	"runtime"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"lentilbend.example/lentilbend/internal/exchange"
+	"lentilbend.example/lentilbend/internal/pool"
 )
 
+// memoryLimit is the default of Limits.Memory, in bytes.
+const memoryLimit = 512 << 20
+
+// respondFieldsEndlessly writes start, and then short fields with different names until
+// the connection is closed.
+func respondFieldsEndlessly(start string) func(net.Conn, int, *http.Request, string) bool {
+	return func(c net.Conn, _ int, _ *http.Request, _ string) bool {
+		_, err := io.WriteString(c, start)
+		for i := 0; err == nil; {
+			var part []byte
+			for range 500 {
+				part = fmt.Appendf(part, "%x:\r\n", i)
+				i++
+			}
+			_, err = c.Write(part)
+		}
+		return false
+	}
+}
+
+// watchHeap returns the largest size of the heap, in bytes, until done is closed.
+func watchHeap(done <-chan struct{}) uint64 {
+	var m runtime.MemStats
+	largest := uint64(0)
+	for {
+		runtime.ReadMemStats(&m)
+		largest = max(largest, m.HeapAlloc)
+		select {
+		case <-done:
+			return largest
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
+
 // endlessTimeout bounds how long an attempt may be held by bytes that are no
 // answer. It is below the timeout of the test's routes.
 const endlessTimeout = 3 * time.Second
@@ -104,6 +144,42 @@
 		Expect(n).To(BeNumerically("<=", 16))
 	})
 
+	DescribeTable("do not exhaust the memory, however many requests get them", func(answer func(net.Conn, int, *http.Request, string) bool) {
+		s := newServer(answer)
+		e := newEntry(s.address())
+		e.forwarder.Pools = pool.New(func(netip.AddrPort) int { return 200 })
+		e.URL = "http://" + startHTTP1(e).String()
+		runtime.GC()
+		var group sync.WaitGroup
+		for range 200 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				a, err := e.send("POST", "/sale/1", "x", exchange.TimeoutHeader, "1s")
+				if err != nil {
+					return
+				}
+				defer a.Body.Close()
+				// A caller that reads slowly must not make the VM read ahead.
+				time.Sleep(500 * time.Millisecond)
+				_, err = io.Copy(io.Discard, a.Body)
+				Expect(a.StatusCode != 200 || err != nil).To(BeTrue())
+			})
+		}
+		done := make(chan struct{})
+		go func() { group.Wait(); close(done) }()
+		Expect(watchHeap(done)).To(BeNumerically("<", memoryLimit))
+	},
+		Entry("in the status line", respondEndlessly("HTTP/1.1 200 ", "x")),
+		Entry("in a header line", respondEndlessly("HTTP/1.1 200 OK\r\nX: ", "x")),
+		Entry("in a field that is repeated", respondEndlessly("HTTP/1.1 200 OK\r\n", "X:\r\n")),
+		Entry("in short fields", respondFieldsEndlessly("HTTP/1.1 200 OK\r\n")),
+		Entry("in informational answers", respondEndlessly("", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")),
+		Entry("that are no answer", respondEndlessly("", "garbage")),
+		Entry("in a body of unknown length", respondEndlessly("HTTP/1.1 200 OK\r\n\r\n", "x")),
+		Entry("in the line of a chunk", respondEndlessly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1")),
+		Entry("in a trailer", respondFieldsEndlessly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")),
+	)
+
 	It("in a signed dialect no informational answer is passed on: it can't be told from a garbled one", func() {
 		s := newServer(respond("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + signedAnswer("200 OK", "", "ok")))
 		e := newDeploymentEntry(s.address())
--- a/lentilbend/internal/chooser/probe_status_test.go
+++ b/lentilbend/internal/chooser/probe_status_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -93,4 +94,6 @@
 	Entry("a continued line", "200 OK\r\nX: y\r\n z: 1", false),
 	Entry("a control byte in a name", "200 OK\r\nX\x01: z", false),
 	Entry("a bare line feed", "200 OK\r\nX: y\nZ: z", false),
+	Entry("a value that is too long", "200 OK\r\nX: "+strings.Repeat("x", 300<<10), false),
+	Entry("too many fields", "200 OK"+strings.Repeat("\r\nX: y", 10_000), false),
 )
