--- a/internal/head/scanner.go
+++ b/internal/head/scanner.go
@@ -1,7 +1,8 @@
 // Package head checks the heads of HTTP/1 answers, as they arrive, for what net/http
 // accepts or repairs although it is no answer: names of fields with a blank, continued
-// lines, and lines that do not end with CRLF. Each of them may be a spoiled byte that
-// hides where the body begins or ends. It also bounds the size of a head.
+// lines, control bytes in values, and lines that do not end with CRLF. Each of them may be
+// a spoiled byte that hides where the body begins or ends. It also bounds the size of a
+// head.
 package head
 
 import (
@@ -25,7 +26,7 @@
 	errStatusLine = errors.New("head: the status line is malformed")
 	errName       = errors.New("head: the name of a field is malformed")
 	errValue      = errors.New("head: the value of a field or the reason is malformed")
-	errLineEnd    = errors.New("head: a carriage return without a line feed")
+	errLineEnd    = errors.New("head: a carriage return is not followed by a line feed")
 )
 
 // statusLine is the form of a status line up to its reason. A 0 stands for any digit.
