Show that malformed fields of a trailer are not passed on

The new spec shows for four malformed names that the field does not reach a caller of HTTP/1.1; it passed at once, and nothing was changed for it.

--- a/lentilbend/internal/backend/head_test.go
+++ b/lentilbend/internal/backend/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -113,6 +114,24 @@
 	})
 })
 
+var _ = It("a field of a trailer with a blank or a control byte in its name is not passed on", func() {
+	for _, field := range []string{"X Y: z", "X : z", "X\x01: z", "X\t: z"} {
+		s := newServer(respondAndClose("HTTP/1.1 200 OK\r\nRequest-Id: " + requestID + "\r\nServer-Signature: s1\r\n" +
+			"Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n2\r\nok\r\n0\r\n" + field + "\r\n\r\n"))
+		for _, e := range newEntries(s.address()) {
+			c, err := net.Dial("tcp", startHTTP1(e).String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			_, err = fmt.Fprintf(c, "GET /sale/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nX-Api-Key: %s\r\nRequest-Id: %s\r\nConnection: close\r\n\r\n", goodKey, goodKey, requestID)
+			Expect(err).NotTo(HaveOccurred())
+			text, err := io.ReadAll(c)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(text)).To(HavePrefix("HTTP/1.1 200 OK\r\n"))
+			Expect(string(text)).NotTo(ContainSubstring(field))
+		}
+	}
+})
+
 var _ = DescribeTable("an answer with an unusual but valid head is passed on", func(line, field, name, value string) {
 	e := newDeploymentEntry(newServer(respond(strings.Replace(signedAnswer("200 OK", field+"\r\n", "ok"), "HTTP/1.1 200 OK", line, 1))).address())
 	for range 3 {
