Keep the error of a malformed head with its connection

A request whose answer had a malformed head was held until its deadline (504) if the head came in two packets, the second one beginning with the malformed byte.

Cause: a read of the connection returned the error once. bufio.Reader.ReadLine, by which net/http reads lines, drops an error that follows a part of a line, and the next read waited for more bytes, which the check would have taken as those after the rejected ones.

head.Conn now returns the error from each later read too, so that the parser meets it at the next line. The part of a line alone can't end a head, which takes an empty line.

--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -13,6 +13,9 @@
 	// another one.
 	scanner   Scanner
 	newAnswer atomic.Bool
+	// err is the error of scanner. All later reads return it: the parser of net/http drops
+	// an error that follows a part of a line, and reads on.
+	err error
 }
 
 // NextAnswer makes the next byte that is read the first one of another answer.
@@ -20,8 +23,11 @@
 	c.newAnswer.Store(true)
 }
 
-// Read returns an error if the head of an answer is malformed.
+// Read returns an error if the head of an answer is malformed, and from then on.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
@@ -29,8 +35,8 @@
 	if c.newAnswer.Swap(false) {
 		c.scanner = Scanner{}
 	}
-	if e := c.scanner.Scan(b[:n]); e != nil {
-		return 0, e
+	if c.err = c.scanner.Scan(b[:n]); c.err != nil {
+		return 0, c.err
 	}
 	return n, err
 }
--- a/lentilbend/internal/backend/head_test.go
+++ b/lentilbend/internal/backend/head_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -48,6 +49,25 @@
 	}
 }
 
+// answerInParts is like answerByPath, but cuts each text into two packets, offset bytes
+// behind the place where it begins to differ from original.
+func answerInParts(texts []string, original string, offset int) func(net.Conn, int, *http.Request, string) bool {
+	return func(c net.Conn, n int, r *http.Request, b string) bool {
+		_, index, _ := strings.Cut(r.URL.Path[1:], "/")
+		i, err := strconv.Atoi(index)
+		if err != nil {
+			return false
+		}
+		cut := offset
+		for texts[i][cut-offset] == original[cut-offset] {
+			cut++
+		}
+		_, _ = io.WriteString(c, texts[i][:cut])
+		time.Sleep(2 * time.Millisecond)
+		return respond(texts[i][cut:])(c, n, r, b)
+	}
+}
+
 // paths returns a path for each index below n.
 func paths(route string, n int) []string {
 	ps := make([]string, n)
@@ -99,6 +119,22 @@
 		}
 	})
 
+	DescribeTable("reaches no caller if it comes in two packets", func(offset int) {
+		good := fieldsBeforeFraming + "Content-Length: 2\r\n\r\nok"
+		bad := corruptNames(good)
+		s := newServer(answerInParts(bad, good, offset))
+		for _, e := range newEntries(s.address()) {
+			statuses, _ := sendRaw(e, "POST", paths("sale", len(bad))...)
+			Expect(statuses).To(HaveLen(len(bad)))
+			for i, status := range statuses {
+				Expect(status).To(Equal(http.StatusBadGateway), "%q", bad[i])
+			}
+		}
+	},
+		Entry("cut before the byte", 0),
+		Entry("cut behind the byte", 1),
+	)
+
 	It("reaches no caller over a connection that was used before", func() {
 		good := fieldsBeforeFraming + "Content-Length: 2\r\n\r\nok"
 		var answers []string
