--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -41,11 +41,20 @@
 // send sends one request and records the answer.
 func send(r *record, c *http.Client, v *vm, method, path, key string) int {
 	id := fmt.Sprintf("r%06d", requestCount.Add(1))
-	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	var body []byte
+	if method == http.MethodPost {
+		body = []byte("order " + id)
+	}
+	return sendBody(r, c, v, id, method, path, key, body, 1500*time.Millisecond)
+}
+
+// sendBody sends a request with a body.
+func sendBody(r *record, c *http.Client, v *vm, id, method, path, key string, b []byte, deadline time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var body io.Reader
-	if method == http.MethodPost {
-		body = bytes.NewReader([]byte("order " + id))
+	if b != nil {
+		body = bytes.NewReader(b)
 	}
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+v.caller()+path, body)
 	if err != nil {
@@ -54,7 +63,7 @@
 	q.Host = host
 	q.GetBody = nil
 	q.Header.Set("Request-Id", id)
-	q.Header.Set("Deadline-Ms", "1500")
+	q.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	q.Header.Set("X-Api-Key", key)
 	a := answer{sent: r.now(), id: id, vm: v.name, method: method}
 	w, err := c.Do(q)
@@ -64,12 +73,11 @@
 		return 0
 	}
 	defer func() { _ = w.Body.Close() }()
-	b, err := io.ReadAll(w.Body)
+	_, err = io.Copy(io.Discard, w.Body)
 	a.got, a.status, a.note = r.now(), w.StatusCode, w.Header.Get("Server-Signature")
 	if err != nil {
 		a.note = err.Error()
 	}
-	_ = b
 	r.answered(a)
 	return w.StatusCode
 }
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +26,8 @@
 	metricsPort = 7100
 	storePort   = 8041
 	serverPort  = 8566
+	// listenPort is where a process listens for its peers if a proxy stands before it.
+	listenPort = 7101
 )
 
 // block returns a free block of loopback addresses, as a prefix such as "127.3.4.".
@@ -46,6 +49,8 @@
 	dir, program   string
 	fields         map[string]any
 	template       string
+	// proxied is set if a proxy stands before the peer address.
+	proxied bool
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -65,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if v.proxied {
+		text = strings.Replace(text, "[Peer]\n", fmt.Sprintf("[Peer]\nListen = \"%s:%d\"\n", v.ip, listenPort), 1)
+	}
 	file := filepath.Join(v.dir, v.name+".conf")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
@@ -207,6 +215,19 @@
 	}
 }
 
+// useProxies puts a proxy before the peer address of each VM.
+func (f *fleet) useProxies() (*network, error) {
+	n := &network{cut: map[string]bool{}}
+	for _, v := range f.vms {
+		v.proxied = true
+		p := &proxy{net: n, target: fmt.Sprintf("%s:%d", v.ip, listenPort), owner: v.ip}
+		if err := p.listen(fmt.Sprintf("%s:%d", v.ip, peerPort)); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
 // startAll starts all VMs and waits until they are ready.
 func (f *fleet) startAll() error {
 	for _, v := range f.vms {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,7 +21,10 @@
 
 // cases are the cases by name. trouble is false for the run without the disruption.
 var cases = map[string]func(r *record, trouble bool) (result, error){
+	"cold":     cold,
 	"evacuate": evacuate,
+	"limits":   limits,
+	"pause":    pause,
 }
 
 func main() {
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -28,10 +28,12 @@
 type record struct {
 	start time.Time
 
-	mu      sync.Mutex
-	runs    []run
-	answers []answer
-	events  []string
+	mu   sync.Mutex
+	runs []run
+	// arrivals are the requests that reached an instance which they were meant for.
+	arrivals []run
+	answers  []answer
+	events   []string
 }
 
 func newRecord() *record { return &record{start: time.Now()} }
@@ -44,6 +46,12 @@
 	r.runs = append(r.runs, run{at: r.now(), id: id, instance: n})
 }
 
+func (r *record) arrived(id string, n *instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, run{at: r.now(), id: id, instance: n})
+}
+
 func (r *record) answered(a answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -67,6 +75,9 @@
 	for _, n := range r.runs {
 		lines = append(lines, fmt.Sprintf("%8.3f run    %s on %s in %s", n.at.Seconds(), n.id, n.instance.id, n.instance.zone))
 	}
+	for _, n := range r.arrivals {
+		lines = append(lines, fmt.Sprintf("%8.3f reach  %s at %s in %s", n.at.Seconds(), n.id, n.instance.id, n.instance.zone))
+	}
 	for _, a := range r.answers {
 		lines = append(lines, fmt.Sprintf("%8.3f sent   %s %s to %s", a.sent.Seconds(), a.method, a.id, a.vm),
 			fmt.Sprintf("%8.3f answer %s status %d %s", a.got.Seconds(), a.id, a.status, a.note))
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -69,10 +69,10 @@
 
 // withoutSequence removes the field sequence from an entry.
 func withoutSequence(entry string) string {
-	return sequenceField.ReplaceAllString(entry, "")
+	return runningFields.ReplaceAllString(entry, "")
 }
 
-var sequenceField = regexp.MustCompile(`"sequence":\d+,`)
+var runningFields = regexp.MustCompile(`"(sequence|cold_remaining)":("\d+ms"|\d+),`)
 
 // remove deletes a value.
 func (s *store) remove(key string) int { return s.write(key, item{deleted: true}) }
